--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,120 @@
+//! Hosts decision modules on the simulator's text wire: one isolated brain for each instance.
+
+mod settings;
+mod wire;
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use juniperrail::Brain;
+use juniperrail_interface::{Event, Ms};
+use wire::{Fault, Line, Names};
+
+struct Instance {
+    names: Names,
+    /// `None` once killed: what still arrives for it is no longer its duty.
+    brain: Option<Brain>,
+    heard: Vec<Event>,
+    /// It had an event in this batch, so it may act.
+    called: bool,
+}
+
+fn main() {
+    std::panic::set_hook(Box::new(|info| eprintln!("the decision module failed: {info}")));
+    let (input, output) = (io::stdin().lock(), io::stdout().lock());
+    if let Err(fault) = serve(input, io::BufWriter::new(output)) {
+        eprintln!("juniperrail-simhost: {fault}");
+        std::process::exit(2);
+    }
+}
+
+fn serve(input: impl BufRead, mut output: impl Write) -> Result<(), Fault> {
+    let mut instances: BTreeMap<u32, Instance> = BTreeMap::new();
+    let mut lines = input.lines().enumerate().map(|(at, text)| match text {
+        Ok(text) => Ok((at + 1, text)),
+        Err(err) => Err(Fault::at(at + 1, format!("cannot be read: {err}"))),
+    });
+    while let Some(first) = lines.next() {
+        let (at, text) = first?;
+        let mut head = Line::new(at, &text);
+        match head.word("message")? {
+            "TURN" => {}
+            other => return Err(head.fault(format!("expected TURN, found {other:?}"))),
+        }
+        let now = head.number("time-ms")?;
+        head.finish()?;
+        batch(now, &mut lines, &mut instances)?;
+        let mut reply = String::new();
+        for (number, instance) in &mut instances {
+            if !std::mem::take(&mut instance.called) {
+                continue;
+            }
+            let heard = std::mem::take(&mut instance.heard);
+            let Some(brain) = &mut instance.brain else { continue };
+            reply.push_str(&format!("BY {number}\n"));
+            match catch_unwind(AssertUnwindSafe(|| brain.turn(now, &heard))) {
+                Ok(orders) => orders.iter().for_each(|order| wire::write(&mut reply, order, &instance.names)),
+                Err(panic) => reply.push_str(&format!("BUG {}\n", reason(&*panic))),
+            }
+        }
+        reply.push_str("ACK\n");
+        output
+            .write_all(reply.as_bytes())
+            .and_then(|()| output.flush())
+            .map_err(|err| Fault::at(at, format!("the reply cannot be written: {err}")))?;
+    }
+    Ok(())
+}
+
+/// Reads the rest of a batch, up to its GO, into the instances it is for.
+fn batch(
+    now: Ms,
+    lines: &mut impl Iterator<Item = Result<(usize, String), Fault>>,
+    instances: &mut BTreeMap<u32, Instance>,
+) -> Result<(), Fault> {
+    let mut current: Option<u32> = None;
+    let mut last = 0;
+    while let Some(next) = lines.next() {
+        let (at, text) = next?;
+        last = at;
+        let mut line = Line::new(at, &text);
+        let name = line.word("message")?;
+        match name {
+            "GO" => return line.finish(),
+            "AT" => {
+                current = Some(line.integer("manager")?);
+                line.finish()?;
+                continue;
+            }
+            _ => {}
+        }
+        let number = current.ok_or_else(|| line.fault("comes before any AT"))?;
+        if name == "BORN" {
+            let seed = line.integer("init-seed")?;
+            let (start, names) = settings::decode(line.rest("info")?).map_err(|why| line.fault(why))?;
+            let brain = Brain::new(now, seed, start);
+            instances.insert(number, Instance { names, brain: Some(brain), heard: Vec::new(), called: true });
+            continue;
+        }
+        let instance = instances
+            .get_mut(&number)
+            .ok_or_else(|| line.fault(format!("is for instance {number}, which was never born")))?;
+        if name == "DETACH" {
+            line.finish()?;
+            instance.brain = None;
+            instance.heard.clear();
+            continue;
+        }
+        let event = wire::read(name, line, &mut instance.names, lines)?;
+        instance.called = true;
+        instance.heard.push(event);
+    }
+    Err(Fault::at(last + 1, "the input ends within a batch".into()))
+}
+
+fn reason(panic: &(dyn std::any::Any + Send)) -> String {
+    let text = panic.downcast_ref::<&str>().map(|text| text.to_string());
+    let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+    text.unwrap_or_else(|| "the decision module panicked".into()).replace('\n', " ")
+}
--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,334 @@
+//! The wire's lines, to events and from orders.
+
+use std::collections::HashMap;
+use std::fmt::{self, Write};
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use juniperrail_interface::*;
+
+/// What was wrong with the input, and in which line.
+#[derive(Debug)]
+pub struct Fault {
+    line: usize,
+    what: String,
+}
+
+impl Fault {
+    pub fn at(line: usize, what: String) -> Self {
+        Fault { line, what }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "input line {}: {}", self.line, self.what)
+    }
+}
+
+/// Names that the wire spells out and the decisions know by number, in order of their appearance.
+#[derive(Default)]
+pub struct Named {
+    ids: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Named {
+    pub fn id(&mut self, name: &str) -> u32 {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = self.names.len() as u32;
+        self.names.push(name.to_string());
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+}
+
+#[derive(Default)]
+pub struct Names {
+    pub workers: Named,
+    pub zones: Named,
+    pub machines: Named,
+    pub ops: Named,
+}
+
+impl Names {
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(self.zones.id(name) as u16)
+    }
+
+    pub fn machine(&mut self, name: &str) -> MachineId {
+        MachineId(self.machines.id(name) as u16)
+    }
+}
+
+/// One line of input, taken apart value by value.
+pub struct Line<'a> {
+    at: usize,
+    text: &'a str,
+    left: Option<&'a str>,
+}
+
+impl<'a> Line<'a> {
+    pub fn new(at: usize, text: &'a str) -> Self {
+        let text = text.strip_suffix('\r').unwrap_or(text);
+        Line { at, text, left: Some(text) }
+    }
+
+    pub fn fault(&self, what: impl Into<String>) -> Fault {
+        let shown: String = self.text.chars().take(60).collect();
+        Fault::at(self.at, format!("{} (in {shown:?})", what.into()))
+    }
+
+    pub fn rest(&mut self, member: &str) -> Result<&'a str, Fault> {
+        self.left.take().ok_or_else(|| self.fault(format!("the value {member} is missing")))
+    }
+
+    pub fn word(&mut self, member: &str) -> Result<&'a str, Fault> {
+        let left = self.rest(member)?;
+        let (word, rest) = match left.split_once(' ') {
+            Some((word, rest)) => (word, Some(rest)),
+            None => (left, None),
+        };
+        self.left = rest;
+        if word.is_empty() {
+            return Err(self.fault(format!("the value {member} is empty")));
+        }
+        Ok(word)
+    }
+
+    pub fn finish(&self) -> Result<(), Fault> {
+        self.left.map_or(Ok(()), |left| Err(self.fault(format!("has values too many: {left:?}"))))
+    }
+
+    fn maybe_number(&mut self, member: &str) -> Result<Option<f64>, Fault> {
+        let word = self.word(member)?;
+        if word == "-" {
+            return Ok(None);
+        }
+        let number = word.parse().ok().filter(|number: &f64| number.is_finite());
+        number.map(Some).ok_or_else(|| self.fault(format!("{member} is no number: {word:?}")))
+    }
+
+    pub fn number(&mut self, member: &str) -> Result<f64, Fault> {
+        self.maybe_number(member)?.ok_or_else(|| self.fault(format!("the value {member} is absent")))
+    }
+
+    pub fn integer<T: std::str::FromStr>(&mut self, member: &str) -> Result<T, Fault> {
+        let word = self.word(member)?;
+        word.parse().map_err(|_| self.fault(format!("{member} is no fitting whole number: {word:?}")))
+    }
+
+    fn flag(&mut self, member: &str) -> Result<bool, Fault> {
+        match self.word(member)? {
+            "1" => Ok(true),
+            "0" => Ok(false),
+            other => Err(self.fault(format!("{member} is neither 1 nor 0: {other:?}"))),
+        }
+    }
+
+    fn load(&mut self, member: &str) -> Result<Load, Fault> {
+        let mut load = Load::default();
+        let text = self.word(member)?;
+        for pair in text.split(',').filter(|_| text != "-") {
+            let fault = || self.fault(format!("{member} holds no name:value pair: {pair:?}"));
+            let (name, value) = pair.split_once(':').ok_or_else(fault)?;
+            let value = Some(value.parse().ok().filter(|v: &f64| v.is_finite()).ok_or_else(fault)?);
+            match name {
+                "outstanding" => load.in_hand = value,
+                "backlog" => load.waiting = value,
+                "utilization" => load.busy = value,
+                "recent_ms" => load.recent = value,
+                "throughput" => load.per_second = value,
+                "errors_per_s" => load.errors_per_second = value,
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+
+    fn op(&mut self, names: &Names) -> Result<OpId, Fault> {
+        let name = self.word("profile")?;
+        let id = names.ops.ids.get(name).ok_or_else(|| self.fault(format!("unknown class {name:?}")))?;
+        Ok(OpId(*id as u8))
+    }
+
+    fn proxy(&mut self) -> Result<ProxyId, Fault> {
+        self.integer("client-lb").map(ProxyId)
+    }
+}
+
+/// Reads an event; a list takes the lines of its entries as well.
+pub fn read(
+    name: &str,
+    mut line: Line<'_>,
+    names: &mut Names,
+    more: &mut impl Iterator<Item = Result<(usize, String), Fault>>,
+) -> Result<Event, Fault> {
+    let event = match name {
+        "TOPOLOGY" => {
+            let kind = match line.word("kind")? {
+                "delta" => ListKind::Changes,
+                "full" => ListKind::Full,
+                "cached" => ListKind::Remembered,
+                "failed" => ListKind::Failed,
+                other => return Err(line.fault(format!("unknown kind of list {other:?}"))),
+            };
+            let version = line.word("version")?;
+            let version = version.parse().ok().or((version == "-").then_some(0));
+            let version = version.ok_or_else(|| line.fault("version is no whole number"))?;
+            let count = match line.word("hosts")? {
+                "-" => 0,
+                count => count.parse().map_err(|_| line.fault("hosts is no count of entries"))?,
+            };
+            let mut workers = Vec::new();
+            for _ in 0..count {
+                let (at, text) =
+                    more.next().unwrap_or_else(|| Err(line.fault("has fewer entries than it says")))?;
+                workers.push(entry(Line::new(at, &text), names)?);
+            }
+            Event::List { kind, version, workers }
+        }
+        "TIMEOUT_FIRED" => Event::Woken { handle: line.word("handle")?.to_string() },
+        "SAMPLED" => Event::Probed {
+            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            ending: match line.word("reason")? {
+                "GOOD" => Ending::Good,
+                "BAD" => Ending::Errored,
+                "FULL" => Ending::TurnedAway,
+                "LATE" => Ending::Late,
+                "NOCONN" => Ending::Unreachable,
+                "RST" => Ending::Broken,
+                "CXL" => Ending::Cancelled,
+                "NOP" => Ending::Moot,
+                other => return Err(line.fault(format!("unknown reason {other:?}"))),
+            },
+            took: line.maybe_number("took-ms")?.unwrap_or(0.0),
+            load: line.load("load")?,
+        },
+        "PEER_DATA" => Event::PeerSaid {
+            from: line.integer("from")?,
+            content: match line.word("content")? {
+                "-" => Vec::new(),
+                text => BASE64_STANDARD.decode(text).map_err(|_| line.fault("content is no base64"))?,
+            },
+        },
+        "CONNECTED" => Event::Joined {
+            proxy: line.proxy()?,
+            fresh: line.flag("active")?,
+            inv_per_second: line.maybe_number("size")?.unwrap_or(0.0),
+            zone: names.zone(line.word("site")?),
+        },
+        "STREAM_DOWN" => Event::Left { proxy: line.proxy()? },
+        "STATS" => Event::WorkerSums {
+            zone: names.zone(line.word("site")?),
+            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            tries: line.number("number")?,
+            bad: line.number("bad")?,
+            mean: line.maybe_number("took-ms")?.unwrap_or(0.0),
+            over: line.number("over-ms")?,
+            load: line.load("load")?,
+        },
+        "OFFERED_LOAD" => Event::ProxySums {
+            op: line.op(names)?,
+            invs: line.number("number")?,
+            unanswered: line.number("bad")?,
+            over: line.number("over-ms")?,
+            proxy: line.proxy()?,
+        },
+        "WEIGHT_SEEN" => Event::SliceSums {
+            unanswered: line.number("bad")?,
+            op: line.op(names)?,
+            slice: line.integer("tbl").map(TableId)?,
+            invs: line.number("number")?,
+            over: line.number("over-ms")?,
+        },
+        "LEASED" => {
+            let given = line.flag("active")?;
+            let slice = line.integer("tbl").map(TableId)?;
+            if given {
+                Event::SliceGiven { slice }
+            } else {
+                Event::SliceTaken { slice }
+            }
+        }
+        "IN_STORE" => Event::SliceHolds {
+            slice: line.integer("tbl").map(TableId)?,
+            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            weight: line.maybe_number("size")?.unwrap_or(1.0),
+        },
+        "CONFIRMED" => Event::Answered {
+            mark: line.integer("version").map(MarkId)?,
+            took: line.maybe_number("took-ms")?.unwrap_or(0.0),
+            proxy: line.proxy()?,
+        },
+        other => return Err(line.fault(format!("unknown message {other:?}"))),
+    };
+    line.finish()?;
+    Ok(event)
+}
+
+fn entry(mut line: Line<'_>, names: &mut Names) -> Result<Listed, Fault> {
+    if line.word("message")? != "M" {
+        return Err(line.fault("expected an entry of the list"));
+    }
+    let cell = line.word("pod")?;
+    let cell = cell.parse().ok().or((cell == "-").then_some(u32::MAX));
+    let listed = Listed {
+        cell: CellId(cell.ok_or_else(|| line.fault("pod is no whole number"))?),
+        phase: match line.word("phase")? {
+            "IN" => Phase::Ready,
+            "LAME" => Phase::Draining,
+            "OUT" => Phase::Gone,
+            other => return Err(line.fault(format!("unknown phase {other:?}"))),
+        },
+        worker: WorkerId(names.workers.id(line.word("worker")?)),
+        booted: line.maybe_number("boot-time-ms")?.filter(|&at| at != 0.0),
+        machine: names.machine(line.word("shape")?),
+        zone: names.zone(line.word("site")?),
+        weight: line.maybe_number("size")?.unwrap_or(0.0),
+    };
+    line.finish()?;
+    Ok(listed)
+}
+
+pub fn write(reply: &mut String, order: &Order, names: &Names) {
+    let worker = |id: &WorkerId| &names.workers.names[id.0 as usize];
+    let written = match order {
+        Order::Wake { after, handle } => writeln!(reply, "WAKE_ME {after} {handle}"),
+        Order::Probe { worker: id } => writeln!(reply, "ASK_LOAD {}", worker(id)),
+        Order::Tell { to, content } => {
+            let text = if content.is_empty() { "-".to_string() } else { BASE64_STANDARD.encode(content) };
+            match to {
+                Receiver::Peer(number) => writeln!(reply, "BROADCAST_TO {number} {text}"),
+                Receiver::All => writeln!(reply, "BROADCAST_TO all {text}"),
+            }
+        }
+        Order::Log(text) => writeln!(reply, "JOURNAL_LINE {}", text.replace(['\n', '\r'], " ")),
+        Order::FollowList(on) => writeln!(reply, "KEEP_INFORMED {}", u8::from(*on)),
+        Order::FetchList => writeln!(reply, "PULL"),
+        Order::SetLine { table, worker: id, weight } => {
+            writeln!(reply, "SET_WEIGHT {} {} {weight}", table.0, worker(id))
+        }
+        Order::ClearTable { table } => writeln!(reply, "DROP_LINES {}", table.0),
+        Order::HoldBack { worker: id, out } => {
+            writeln!(reply, "HOLD_BACK {} {}", worker(id), u8::from(*out))
+        }
+        Order::Bind { table, ops, proxy } => writeln!(reply, "PIN {} {ops} {}", table.0, proxy.0),
+        Order::Admit { reach, ops, level, retry } => {
+            let table = match reach {
+                Reach::Table(table) => table.0,
+                Reach::EveryProxy => u16::MAX,
+            };
+            let how = match retry {
+                Retry::Never => 0,
+                Retry::IfUnrun => 1,
+                Retry::OnceOnFailure => 2,
+                Retry::TwiceOnFailure => 3,
+            };
+            writeln!(reply, "RATION {table} {ops} {level} {how}")
+        }
+        Order::Mark { number, everyone } => writeln!(reply, "STAMP {} {}", u8::from(*everyone), number.0),
+    };
+    written.expect("text can always be added to a string");
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,774 @@
+//! All decisions of a juniperrail manager.
+//!
+//! A host makes one [`Brain`] for each manager at its start and then calls [`Brain::turn`] with what
+//! happened since the last call; the orders that come back take effect in the order written. The types
+//! of both stand in `crates/interface`. A brain reads no clock and no input of its own: the same events
+//! give the same orders.
+//!
+//! The ordinary path follows `docs/design.md`: wanted values are composed line by line (`want`),
+//! ordered by pairs (`before`), sent within half the backlog (`send`) and settled by answered marks.
+
+use juniperrail_interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Part of the lines that may wait which is topped up in a turn, and part that overdue drains may use.
+const TOPPED: f64 = 0.5;
+const TOPPED_OVERDUE: f64 = 0.8;
+/// The channel is taken to send at this part of its rate until an answer proves otherwise.
+const SLOWEST: f64 = 0.1;
+/// Part of the messages to a proxy that ordinary changes may use; the rest is kept for drains.
+const ORDINARY_MESSAGES: f64 = 0.6;
+/// Part of the drain grace after which a removal waits for no answer any more.
+const PATIENCE: f64 = 0.4;
+/// A cold worker's ramp has so many steps.
+const RAMP: f64 = 4.0;
+/// Part of the listed weight that health may hold back, of the fleet and of each table.
+const HELD_MOST: f64 = 0.3;
+/// Part of its weight that a worker on trial gets.
+const TRIAL: f64 = 0.15;
+/// Part of tries gone bad that makes a worker sick, and multiple of its peers' part.
+const SICK: f64 = 0.35;
+const SICK_MULTIPLE: f64 = 3.0;
+/// Bad tries that are evidence enough.
+const SICK_TRIES: f64 = 3.0;
+/// Parts of all tries gone bad at which further tries are stopped and allowed again.
+const CROWDED: (f64, f64) = (0.3, 0.15);
+const NO_LIMIT: f64 = 1e6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Hold(WorkerId),
+    Line(TableId, WorkerId),
+    Level(TableId, OpId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Value {
+    size: f64,
+    retry: Retry,
+}
+
+const NOTHING: Value = Value { size: 0.0, retry: Retry::Never };
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Idle,
+    Scheduled(u64),
+    Completed,
+}
+
+struct Entry {
+    wanted: Value,
+    sent: Value,
+    state: State,
+    /// From then on it waits for no predecessor and may use the reserve.
+    due: Option<Ms>,
+}
+
+/// `parent` is answered before `child` is sent; `update` is the update that asked for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Pair {
+    parent: Key,
+    child: Key,
+    update: u64,
+}
+
+/// One reply's messages, as far as no answer has proven that they left the channel.
+struct Block {
+    mark: u64,
+    at: Ms,
+    lines: f64,
+    least: f64,
+    left: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    Sound,
+    Out { until: Ms, times: i32 },
+    Trial { times: i32 },
+}
+
+struct Sample {
+    at: Ms,
+    tries: f64,
+    bad: f64,
+}
+
+struct Worker {
+    listed: Listed,
+    told: Ms,
+    health: Health,
+    samples: VecDeque<Sample>,
+}
+
+struct Proxy {
+    zone: ZoneId,
+    inv_per_second: f64,
+    bound: bool,
+    answered: u64,
+    messages: VecDeque<Ms>,
+}
+
+struct Table {
+    id: TableId,
+    ops: u32,
+    /// One of its operations: all of them are open to the same workers.
+    like: OpId,
+    /// Only proxies and workers of this zone.
+    own: Option<ZoneId>,
+}
+
+pub struct Brain {
+    start: Start,
+    rng: fastrand::Rng,
+    now: Ms,
+    workers: BTreeMap<WorkerId, Worker>,
+    proxies: BTreeMap<ProxyId, Proxy>,
+    tables: Vec<Table>,
+    entries: BTreeMap<Key, Entry>,
+    pairs: Vec<Pair>,
+    update: u64,
+    mark: u64,
+    blocks: VecDeque<Block>,
+    proven: Ms,
+    changed: Ms,
+    crowded: bool,
+    wake: bool,
+    ask_at: Option<Ms>,
+    orders: Vec<Order>,
+}
+
+impl Brain {
+    pub fn new(now: Ms, seed: u64, start: Start) -> Self {
+        Brain {
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            workers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            tables: Vec::new(),
+            entries: BTreeMap::new(),
+            pairs: Vec::new(),
+            update: 0,
+            mark: 0,
+            blocks: VecDeque::new(),
+            proven: now,
+            changed: f64::NEG_INFINITY,
+            crowded: false,
+            wake: true,
+            ask_at: start.list_asked.then_some(now),
+            orders: Vec::new(),
+            start,
+        }
+    }
+
+    /// Takes what happened up to `now` and returns what is to be done.
+    pub fn turn(&mut self, now: Ms, events: &[Event]) -> Vec<Order> {
+        self.now = now;
+        self.update += 1;
+        events.iter().for_each(|event| self.hear(event));
+        self.judge();
+        self.lay_tables();
+        self.plan();
+        self.settle();
+        self.send();
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = None;
+            self.orders.push(Order::FollowList(true));
+        }
+        if std::mem::take(&mut self.wake) {
+            let beat = (self.start.report_period / 8.0).max(20.0);
+            self.orders.push(Order::Wake { after: beat, handle: "beat".into() });
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    fn hear(&mut self, event: &Event) {
+        match event {
+            Event::List { kind: ListKind::Failed, .. } => {
+                let apart = self.start.ask_within / 8.0 * (0.5 + self.rng.f64());
+                self.ask_at = self.start.list_asked.then_some(self.now + apart);
+            }
+            Event::List { kind, workers, .. } => {
+                if *kind != ListKind::Changes {
+                    let absent = |id: &WorkerId| !workers.iter().any(|listed| listed.worker == *id);
+                    let gone: Vec<WorkerId> = self.workers.keys().copied().filter(absent).collect();
+                    gone.into_iter().for_each(|id| {
+                        self.list(Listed { phase: Phase::Gone, ..self.workers[&id].listed.clone() })
+                    });
+                }
+                workers.iter().for_each(|listed| self.list(listed.clone()));
+            }
+            Event::Woken { .. } => self.wake = true,
+            Event::Joined { proxy, inv_per_second, zone, .. } => {
+                let joined = Proxy {
+                    zone: *zone,
+                    inv_per_second: *inv_per_second,
+                    bound: false,
+                    answered: self.mark,
+                    messages: VecDeque::new(),
+                };
+                self.proxies.insert(*proxy, joined);
+            }
+            Event::Left { proxy } => self.left(*proxy),
+            Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
+            Event::WorkerSums { worker, tries, bad, .. } => {
+                if let Some(known) = self.workers.get_mut(worker) {
+                    known.samples.push_back(Sample { at: self.now, tries: *tries, bad: *bad });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes an entry of the list; a start newer than known makes a worker a new one.
+    fn list(&mut self, listed: Listed) {
+        let now = self.now;
+        let worker = self.workers.entry(listed.worker).or_insert_with(|| Worker {
+            listed: listed.clone(),
+            told: now,
+            health: Health::Sound,
+            samples: VecDeque::new(),
+        });
+        if listed.booted > worker.listed.booted {
+            worker.health = Health::Sound;
+            worker.samples.clear();
+        }
+        if listed.phase != worker.listed.phase && worker.listed.phase == Phase::Ready {
+            worker.told = now;
+        }
+        worker.listed = listed;
+    }
+
+    /// A broken stream ends the proxy's binds: lines that only it still owed an answer for become idle,
+    /// the others its next bind carries.
+    fn left(&mut self, id: ProxyId) {
+        let Some(proxy) = self.proxies.remove(&id) else { return };
+        for (key, entry) in &mut self.entries {
+            let owed = matches!(entry.state, State::Scheduled(mark) if mark > proxy.answered);
+            if owed && !reached(&self.tables, &self.proxies, *key).any(|_| true) {
+                entry.state = State::Idle;
+            }
+        }
+    }
+
+    /// An answer settles its proxy's lines and proves that all messages before its own left the channel.
+    fn answered(&mut self, wire: MarkId, id: ProxyId) {
+        let behind = (self.mark.wrapping_sub(u64::from(wire.0))) & 0xffff;
+        let Some(mark) = self.mark.checked_sub(behind) else { return };
+        let Some(proxy) = self.proxies.get_mut(&id) else { return };
+        if mark <= proxy.answered {
+            return;
+        }
+        proxy.answered = mark;
+        self.proven = self.now;
+        while self.blocks.front().is_some_and(|block| block.mark < mark) {
+            self.blocks.pop_front();
+        }
+        if let Some(block) = self.blocks.front_mut().filter(|block| block.mark == mark) {
+            block.lines -= block.least;
+            block.left -= 1;
+            if block.left == 0 {
+                self.blocks.pop_front();
+            }
+        }
+    }
+
+    /// Lines that may still wait in the channel. Its pace is not known, so only answers and a very slow
+    /// pace count: guards against a channel slowed several times, stalled proxies and lost answers.
+    fn waiting(&mut self) -> f64 {
+        let Some(first) = self.blocks.front() else { return 0.0 };
+        let since = self.now - first.at.max(self.proven);
+        let sent = since * self.start.channel_rate * SLOWEST / 1000.0;
+        let waiting = self.blocks.iter().map(|block| block.lines).sum::<f64>() - sent;
+        if waiting <= 0.0 {
+            self.blocks.clear();
+        }
+        waiting.max(0.0)
+    }
+
+    fn open(&self, table: &Table, worker: &Listed) -> bool {
+        let op = &self.start.operations[table.like.0 as usize];
+        op.zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
+            && op.machines.as_ref().is_none_or(|machines| machines.contains(&worker.machine))
+            && table.own.is_none_or(|zone| zone == worker.zone)
+    }
+
+    /// One table for each set of workers open to an operation; one a zone where only its own may serve.
+    fn lay_tables(&mut self) {
+        if self.start.slices > 0 {
+            return;
+        }
+        let mut zones: Vec<ZoneId> = self.proxies.values().map(|proxy| proxy.zone).collect();
+        zones.sort();
+        zones.dedup();
+        for (place, op) in self.start.operations.iter().enumerate().take(32) {
+            let wanted = if op.own_zone { zones.iter().map(|&z| Some(z)).collect() } else { vec![None] };
+            for own in wanted {
+                let same = |table: &&mut Table| {
+                    let like = &self.start.operations[table.like.0 as usize];
+                    table.own == own && like.zones == op.zones && like.machines == op.machines
+                };
+                let ops = 1 << place;
+                match self.tables.iter_mut().find(same) {
+                    Some(table) => table.ops |= ops,
+                    None => {
+                        let id = TableId(self.tables.len() as u16);
+                        self.tables.push(Table { id, ops, like: OpId(place as u8), own });
+                    }
+                }
+            }
+        }
+    }
+
+    fn weight(&self, listed: &Listed) -> f64 {
+        if listed.weight > 0.0 {
+            return listed.weight;
+        }
+        let known = self.workers.values().map(|worker| worker.listed.weight).filter(|weight| *weight > 0.0);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), weight| (sum + weight, count + 1.0));
+        if count > 0.0 {
+            sum / count
+        } else {
+            1.0
+        }
+    }
+
+    /// The least part of its capacity that a worker can have by now, in a few steps.
+    fn warmth(&self, listed: &Listed) -> f64 {
+        let Some(booted) = listed.booted.filter(|_| self.start.warm_up > 0.0) else { return 1.0 };
+        let step = ((self.now - booted) / self.start.warm_up * RAMP).floor() / RAMP;
+        let cold = self.start.cold_share.clamp(0.01, 1.0);
+        (cold + (1.0 - cold) * step.clamp(0.0, 1.0)).min(1.0)
+    }
+
+    /// Health by symptom: tries gone bad at one worker while its peers' go well, whatever the cause
+    /// (errors, no answers, refused connections). Fleet-wide badness takes nobody out.
+    fn judge(&mut self) {
+        let (now, period) = (self.now, self.start.report_period);
+        let rest = self.start.operations.iter().map(|op| op.integration_timeout).fold(period, f64::max);
+        let mut sums: BTreeMap<WorkerId, (f64, f64)> = BTreeMap::new();
+        for (id, worker) in &mut self.workers {
+            worker.samples.retain(|sample| now - sample.at < 2.2 * period);
+            let sum = worker.samples.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.tries, sum.1 + s.bad));
+            sums.insert(*id, sum);
+            if let Health::Out { until, times } = worker.health {
+                if now >= until {
+                    worker.health = Health::Trial { times };
+                    worker.samples.clear();
+                }
+            }
+        }
+        let all = sums.values().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1));
+        let part = if all.0 > 0.0 { all.1 / all.0 } else { 0.0 };
+        self.crowded = part > if self.crowded { CROWDED.1 } else { CROWDED.0 };
+        let mut by_sickness: Vec<(f64, WorkerId)> = Vec::new();
+        for (&id, &(tries, bad)) in &sums {
+            let peers = (all.1 - bad) / (all.0 - tries).max(1.0);
+            let worker = self.workers.get_mut(&id).expect("a known worker");
+            let sick = bad >= SICK_TRIES && bad > tries * SICK.max(SICK_MULTIPLE * peers);
+            match worker.health {
+                Health::Trial { .. } if tries >= SICK_TRIES && bad < tries * SICK => {
+                    worker.health = Health::Sound
+                }
+                Health::Sound | Health::Trial { .. } if sick => by_sickness.push((-bad / tries, id)),
+                _ => {}
+            }
+        }
+        by_sickness.sort_by(|a, b| a.partial_cmp(b).expect("parts are numbers"));
+        for (part, id) in by_sickness {
+            if !self.may_hold(id) {
+                continue;
+            }
+            let worker = self.workers.get_mut(&id).expect("a known worker");
+            let times = if let Health::Trial { times } = worker.health { times + 1 } else { 0 };
+            let until = now + rest * f64::from(1 << times.min(2));
+            worker.health = Health::Out { until, times };
+            worker.samples.clear();
+            let msg = format!("held back worker {}: {:.2} of its tries went bad", id.0, -part);
+            self.orders.push(Order::Log(msg));
+        }
+    }
+
+    /// Health may take out a bounded part of each table's weight.
+    fn may_hold(&self, id: WorkerId) -> bool {
+        self.tables.iter().all(|table| {
+            let (mut all, mut held) = (0.0, 0.0);
+            let open =
+                |worker: &&Worker| worker.listed.phase == Phase::Ready && self.open(table, &worker.listed);
+            for worker in self.workers.values().filter(open) {
+                all += self.weight(&worker.listed);
+                if worker.listed.worker == id || matches!(worker.health, Health::Out { .. }) {
+                    held += self.weight(&worker.listed);
+                }
+            }
+            held <= all * HELD_MOST
+        })
+    }
+
+    /// Works out the wanted value of every line and composes it onto what is pending.
+    fn plan(&mut self) {
+        let mut wanted: Vec<(Key, Value, Option<Ms>)> = Vec::new();
+        let size = |size: f64| Value { size, retry: Retry::Never };
+        for (&id, worker) in &self.workers {
+            let listed = &worker.listed;
+            let leaves = listed.phase != Phase::Ready;
+            let out = leaves || matches!(worker.health, Health::Out { .. });
+            let due = leaves.then_some(worker.told + PATIENCE * self.start.drain_grace);
+            wanted.push((Key::Hold(id), size(if out { 1.0 } else { 0.0 }), due));
+        }
+        for table in &self.tables {
+            let open: Vec<&Worker> =
+                self.workers.values().filter(|worker| self.open(table, &worker.listed)).collect();
+            let (mut all, mut usable) = (0.0, 0.0);
+            for worker in &open {
+                all += self.weight(&worker.listed);
+                if worker.listed.phase == Phase::Ready && !matches!(worker.health, Health::Out { .. }) {
+                    usable += self.weight(&worker.listed) * self.warmth(&worker.listed);
+                }
+            }
+            // What others cannot take moves onto the cold: they get less of it than their part.
+            let factor = self.start.overload_factor;
+            let spared = (factor / 3.0).min(1.0) * (usable / f64::max(all, 1e-9) * factor / 2.0).min(1.0);
+            for worker in open {
+                let mut weight = self.weight(&worker.listed);
+                let warmth = self.warmth(&worker.listed);
+                if warmth < 1.0 {
+                    weight *= warmth * spared;
+                }
+                if matches!(worker.health, Health::Trial { .. }) {
+                    weight *= TRIAL;
+                }
+                if worker.listed.phase != Phase::Ready {
+                    weight = 0.0;
+                }
+                let weight = (weight * 1000.0).round() / 1000.0;
+                wanted.push((Key::Line(table.id, worker.listed.worker), size(weight), None));
+            }
+            for place in (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1) {
+                let level = if self.start.level_kind == LevelKind::Share { 1.0 } else { NO_LIMIT };
+                let value = Value { size: level, retry: self.retry(table, place) };
+                wanted.push((Key::Level(table.id, OpId(place as u8)), value, None));
+            }
+        }
+        let changed: Vec<Key> =
+            wanted.into_iter().filter_map(|(key, v, due)| self.want(key, v, due)).collect();
+        changed.into_iter().for_each(|key| self.order(key));
+    }
+
+    /// When proxies may try again: what may run again after any failure, while failures are few; the rest
+    /// only on proof that the first try never ran, or where all possible targets drop the repeat.
+    fn retry(&self, table: &Table, place: usize) -> Retry {
+        let op = &self.start.operations[place];
+        let patience = op.latency_objective * self.start.try_objectives;
+        let mut open = self.workers.values().map(|w| &w.listed).filter(|listed| self.open(table, listed));
+        let first = open.next();
+        let again = match op.repeat {
+            Repeat::Idempotent => true,
+            Repeat::SideEffecting => false,
+            Repeat::Fingerprinted { group, window } => {
+                2.0 * patience < window
+                    && match group {
+                        Group::All => true,
+                        Group::Zone => first.is_some_and(|a| open.all(|b| a.zone == b.zone)),
+                        Group::Cell => {
+                            first.is_some_and(|a| open.all(|b| (a.zone, a.cell) == (b.zone, b.cell)))
+                        }
+                    }
+            }
+        };
+        if again && !self.crowded && patience < op.integration_timeout {
+            Retry::OnceOnFailure
+        } else {
+            Retry::IfUnrun
+        }
+    }
+
+    /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
+    /// counts as unapplied. Returns the key if anything is to be sent for it now.
+    fn want(&mut self, key: Key, value: Value, due: Option<Ms>) -> Option<Key> {
+        let fresh = Entry { wanted: NOTHING, sent: NOTHING, state: State::Completed, due: None };
+        let entry = self.entries.entry(key).or_insert(fresh);
+        entry.due = due;
+        if entry.wanted == value {
+            return None;
+        }
+        entry.wanted = value;
+        if entry.sent == value {
+            // The channel is in order: the value on its way is the one wanted again.
+            if entry.state == State::Idle {
+                entry.state = State::Scheduled(self.mark);
+            }
+            return None;
+        }
+        entry.state = State::Idle;
+        Some(key)
+    }
+
+    /// The pairs that a changed line brings: lines go behind the hold, a hold is lifted behind the line
+    /// that eases its worker in, and a table's last sound line is held behind its replacements.
+    fn order(&mut self, key: Key) {
+        let removed = self.entries[&key].wanted.size == 0.0;
+        match key {
+            Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
+            Key::Line(_, id) if self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent.size > 0.0) => {
+                self.before(key, Key::Hold(id))
+            }
+            Key::Hold(id) if !removed => {
+                for place in 0..self.tables.len() {
+                    let table = self.tables[place].id;
+                    let others = self.replacements(table, id);
+                    let held = self.entries.contains_key(&Key::Line(table, id));
+                    if held && !others.iter().any(|(_, sound)| *sound) {
+                        others.into_iter().for_each(|(line, _)| self.before(line, key));
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The other lines that a table is to have, and whether each is in force already.
+    fn replacements(&self, table: TableId, id: WorkerId) -> Vec<(Key, bool)> {
+        let sound = |worker: &WorkerId| {
+            let hold = self.entries.get(&Key::Hold(*worker));
+            hold.is_none_or(|hold| hold.wanted.size == 0.0)
+        };
+        let lines = self.entries.range(Key::Line(table, WorkerId(0))..=Key::Line(table, WorkerId(u32::MAX)));
+        let mut found = Vec::new();
+        for (key, entry) in lines {
+            let Key::Line(_, worker) = *key else { continue };
+            if worker != id && entry.wanted.size > 0.0 && sound(&worker) {
+                found.push((*key, entry.sent.size > 0.0 && entry.state == State::Completed));
+            }
+        }
+        found
+    }
+
+    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
+    /// of its first line linked to every child of its second, so that no implied order is lost.
+    fn before(&mut self, parent: Key, child: Key) {
+        if parent == child || self.pairs.iter().any(|pair| (pair.parent, pair.child) == (parent, child)) {
+            return;
+        }
+        self.pairs.push(Pair { parent, child, update: self.update });
+        while let Some(cycle) = self.cycle(parent) {
+            let oldest = *cycle.iter().min_by_key(|pair| pair.update).expect("a cycle has pairs");
+            self.pairs.retain(|pair| *pair != oldest);
+            let parents: Vec<Key> =
+                self.pairs.iter().filter(|p| p.child == oldest.parent).map(|p| p.parent).collect();
+            let children: Vec<Key> =
+                self.pairs.iter().filter(|p| p.parent == oldest.child).map(|p| p.child).collect();
+            for &parent in &parents {
+                for &child in &children {
+                    let linked = Pair { parent, child, update: oldest.update };
+                    let known = |p: &Pair| (p.parent, p.child) == (parent, child);
+                    if parent != child && !self.pairs.iter().any(known) {
+                        self.pairs.push(linked);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The pairs of a cycle through a line, if there is one.
+    fn cycle(&self, from: Key) -> Option<Vec<Pair>> {
+        let mut paths: Vec<Vec<Pair>> =
+            self.pairs.iter().filter(|p| p.parent == from).map(|p| vec![*p]).collect();
+        let mut seen: Vec<Key> = Vec::new();
+        while let Some(path) = paths.pop() {
+            let end = path[path.len() - 1].child;
+            if end == from {
+                return Some(path);
+            }
+            if seen.contains(&end) {
+                continue;
+            }
+            seen.push(end);
+            for pair in self.pairs.iter().filter(|pair| pair.parent == end) {
+                let mut longer = path.clone();
+                longer.push(*pair);
+                paths.push(longer);
+            }
+        }
+        None
+    }
+
+    fn reach(&self, key: Key) -> Vec<ProxyId> {
+        reached(&self.tables, &self.proxies, key).collect()
+    }
+
+    /// A line is completed when every proxy that it was written to answered a mark sent after it.
+    fn settle(&mut self) {
+        let scheduled =
+            |entry: &Entry| if let State::Scheduled(mark) = entry.state { Some(mark) } else { None };
+        let keys: Vec<(Key, u64)> = self
+            .entries
+            .iter()
+            .filter_map(|(key, entry)| scheduled(entry).map(|mark| (*key, mark)))
+            .collect();
+        for (key, mark) in keys {
+            if self.reach(key).iter().all(|id| self.proxies[id].answered >= mark) {
+                self.entries.get_mut(&key).expect("a known key").state = State::Completed;
+            }
+        }
+        let done = |key: &Key| self.entries.get(key).is_none_or(|entry| entry.state == State::Completed);
+        self.pairs.retain(|pair| !done(&pair.parent) && !done(&pair.child));
+    }
+
+    /// Tops the waiting lines up to half the backlog: drains first, then binds, then the largest changes.
+    fn send(&mut self) {
+        let (now, most) = (self.now, self.start.lines_waiting_most);
+        let waiting = self.waiting();
+        let each = self.start.message_overhead + 2.0;
+        let reserve = (self.proxies.len() as f64 * each).min(most * TOPPED / 4.0);
+        let mut message = Message { lines: BTreeMap::new(), orders: Vec::new() };
+        let behind: Vec<Key> = self.pairs.iter().map(|pair| pair.child).collect();
+        let ready = |key: &Key| !behind.contains(key);
+        let idle = |entry: &Entry| entry.state == State::Idle;
+
+        let holds: Vec<(Key, Ms)> =
+            self.entries.iter().filter(|(_, e)| idle(e)).filter_map(|(k, e)| Some((*k, e.due?))).collect();
+        for (key, due) in holds {
+            let overdue = now >= due;
+            let room = most * if overdue { TOPPED_OVERDUE } else { TOPPED } - waiting;
+            if overdue || ready(&key) {
+                self.add(key, &mut message, room, 1.0);
+            }
+        }
+        let mut unbound: Vec<(f64, ProxyId)> =
+            self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
+        unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        for (_, id) in unbound {
+            if !self.bind(id, &mut message, most * TOPPED - reserve - waiting) {
+                break;
+            }
+        }
+        let gap = match self.start.messages_most {
+            0 => self.start.report_period / 2.0,
+            most => self.start.messages_over / (most as f64 * ORDINARY_MESSAGES),
+        };
+        let mut changes: Vec<(f64, Key)> = Vec::new();
+        for (key, entry) in self.entries.iter().filter(|(_, entry)| idle(entry)) {
+            let large = (entry.wanted.size - entry.sent.size).abs();
+            if ready(key) && (now >= self.changed + gap || self.reach(*key).is_empty()) {
+                changes.push((-large, *key));
+            }
+        }
+        changes.sort_by(|a, b| a.partial_cmp(b).expect("weights are numbers"));
+        for (_, key) in changes {
+            if self.add(key, &mut message, most * TOPPED - reserve - waiting, ORDINARY_MESSAGES) {
+                self.changed = now;
+            }
+        }
+        self.orders.append(&mut message.orders);
+        if message.lines.is_empty() {
+            return;
+        }
+        self.orders.push(Order::Mark { number: MarkId((self.mark + 1) as u16), everyone: false });
+        self.mark += 1;
+        let block = Block {
+            mark: self.mark,
+            at: now,
+            lines: message.lines.values().sum(),
+            least: message.lines.values().copied().fold(f64::INFINITY, f64::min),
+            left: message.lines.len(),
+        };
+        self.blocks.push_back(block);
+        for id in message.lines.keys() {
+            self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
+        }
+    }
+
+    /// Whether a proxy may be written one more message, when `part` of the limit is open to it.
+    fn may_write(&mut self, id: ProxyId, part: f64) -> bool {
+        let (now, over) = (self.now, self.start.messages_over);
+        let most = self.start.messages_most;
+        let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
+        proxy.messages.retain(|at| now - at <= over * 1.02);
+        most == 0 || (proxy.messages.len() as f64) < (most as f64 * part).floor()
+    }
+
+    /// Adds a line to this reply if there is room for it at every proxy that it goes to.
+    fn add(&mut self, key: Key, message: &mut Message, room: f64, part: f64) -> bool {
+        let reach = self.reach(key);
+        let each = self.start.message_overhead + 1.0;
+        let new: Vec<ProxyId> = reach.iter().copied().filter(|id| !message.lines.contains_key(id)).collect();
+        let cost = reach.len() as f64 + new.len() as f64 * each;
+        let fits = reach.is_empty() || message.lines.values().sum::<f64>() + cost <= room;
+        if !fits || !new.iter().all(|id| self.may_write(*id, part)) {
+            return false;
+        }
+        for id in &reach {
+            *message.lines.entry(*id).or_insert(each) += 1.0;
+        }
+        let entry = self.entries.get_mut(&key).expect("a known key");
+        entry.sent = entry.wanted;
+        entry.state = if reach.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
+        let size = entry.wanted.size;
+        message.orders.push(match key {
+            Key::Hold(worker) => Order::HoldBack { worker, out: size > 0.0 },
+            Key::Line(table, worker) => Order::SetLine { table, worker, weight: size },
+            Key::Level(table, op) => {
+                let reach = Reach::Table(table);
+                Order::Admit { reach, ops: 1 << op.0, level: size, retry: entry.wanted.retry }
+            }
+        });
+        true
+    }
+
+    /// Binds a joined proxy to its tables if their lines fit; a table with nothing to pick waits.
+    fn bind(&mut self, id: ProxyId, message: &mut Message, room: f64) -> bool {
+        let each = self.start.message_overhead + 1.0;
+        let mut cost = if message.lines.contains_key(&id) { 0.0 } else { each };
+        let mut binds = Vec::new();
+        let zone = self.proxies[&id].zone;
+        for table in self.tables.iter().filter(|table| table.own.is_none_or(|own| own == zone)) {
+            let (mut lines, mut sound) = (1.0, false);
+            for key in self.entries.iter().filter(|(_, entry)| entry.sent.size > 0.0).map(|(key, _)| key) {
+                match *key {
+                    Key::Line(of, worker) if of == table.id => {
+                        let held =
+                            self.entries.get(&Key::Hold(worker)).is_some_and(|hold| hold.sent.size > 0.0);
+                        lines += if held { 2.0 } else { 1.0 };
+                        sound |= !held;
+                    }
+                    Key::Level(of, _) if of == table.id => lines += 1.0,
+                    _ => {}
+                }
+            }
+            if sound {
+                cost += lines;
+                binds.push(Order::Bind { table: table.id, ops: table.ops, proxy: id });
+            }
+        }
+        if binds.is_empty() || message.lines.values().sum::<f64>() + cost > room || !self.may_write(id, 1.0) {
+            return binds.is_empty();
+        }
+        *message.lines.entry(id).or_insert(0.0) += cost;
+        message.orders.append(&mut binds);
+        self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
+        true
+    }
+}
+
+/// What this reply writes: its orders, and the lines of the message to each proxy.
+struct Message {
+    lines: BTreeMap<ProxyId, f64>,
+    orders: Vec<Order>,
+}
+
+/// The proxies that a change of this line is written to.
+fn reached<'a>(
+    tables: &[Table],
+    proxies: &'a BTreeMap<ProxyId, Proxy>,
+    key: Key,
+) -> impl Iterator<Item = ProxyId> + 'a {
+    let own = match key {
+        Key::Hold(_) => None,
+        Key::Line(id, _) | Key::Level(id, _) => Some(tables[id.0 as usize].own),
+    };
+    let reads =
+        move |proxy: &Proxy| own.is_none_or(|own| proxy.bound && own.is_none_or(|zone| zone == proxy.zone));
+    proxies.iter().filter(move |(_, proxy)| reads(proxy)).map(|(id, _)| *id)
+}
