--- a/src/brain.rs
+++ b/src/brain.rs
@@ -477,7 +477,7 @@
                     }
             }
         };
-        if again && !self.crowded && patience < op.integration_timeout {
+        if again && false && patience < op.integration_timeout {
             Retry::OnceOnFailure
         } else {
             Retry::IfUnrun
