Weigh workers by cost and busyness against their peers

Cause: listed weights miss true speeds, so the slowest workers jam first; holding the sick back moved their load onto workers near their limit. One judgement now lowers and restores weights. Guards against hangs, fast errors, crowding neighbours and misjudged speeds alike; it may hurt where one operation's cost differs by worker.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,17 +22,16 @@
 const PATIENCE: f64 = 0.4;
 /// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
-/// Part of the listed weight that health may hold back, of the fleet and of each table.
-const HELD_MOST: f64 = 0.3;
-/// Part of its weight that a worker on trial gets.
-const TRIAL: f64 = 0.15;
-/// Part of tries gone bad that makes a worker sick, and multiple of its peers' part.
-const SICK: f64 = 0.35;
-const SICK_MULTIPLE: f64 = 3.0;
-/// Bad tries that are evidence enough.
-const SICK_TRIES: f64 = 3.0;
-/// Parts of all tries gone bad at which further tries are stopped and allowed again.
-const CROWDED: (f64, f64) = (0.3, 0.15);
+/// Reports kept of each worker, and tries that are evidence enough to weigh it.
+const SAMPLES: usize = 12;
+const ENOUGH: f64 = 4.0;
+/// A worker's weight follows the ratio of its cost to its peers' by this power, outside a deadband.
+const GAIN: f64 = 0.6;
+const DEADBAND: f64 = 1.2;
+/// Bounds of the multiple, and the part of the fleet's weight that may fall below half of it.
+const FACTORS: (f64, f64) = (0.05, 2.0);
+const HALF: f64 = 0.5;
+const LOW_MOST: f64 = 0.35;
 const NO_LIMIT: f64 = 1e6;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -82,23 +81,27 @@
     left: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Health {
-    Sound,
-    Out { until: Ms, times: i32 },
-    Trial { times: i32 },
-}
-
 struct Sample {
     at: Ms,
     tries: f64,
     bad: f64,
+    mean: Ms,
+    busy: Option<f64>,
+}
+
+impl Sample {
+    /// Time that its tries took, when one gone bad counts as `lost`.
+    fn cost(&self, lost: Ms) -> Ms {
+        (self.tries - self.bad) * self.mean + self.bad * lost
+    }
 }
 
 struct Worker {
     listed: Listed,
     told: Ms,
-    health: Health,
+    /// Multiple of its weight, and since when.
+    factor: f64,
+    weighed: Ms,
     samples: VecDeque<Sample>,
 }
 
@@ -133,7 +136,6 @@
     blocks: VecDeque<Block>,
     proven: Ms,
     changed: Ms,
-    crowded: bool,
     wake: bool,
     ask_at: Option<Ms>,
     orders: Vec<Order>,
@@ -154,7 +156,6 @@
             blocks: VecDeque::new(),
             proven: now,
             changed: f64::NEG_INFINITY,
-            crowded: false,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             orders: Vec::new(),
@@ -167,7 +168,7 @@
         self.now = now;
         self.update += 1;
         events.iter().for_each(|event| self.hear(event));
-        self.judge();
+        self.weigh();
         self.lay_tables();
         self.plan();
         self.settle();
@@ -212,9 +213,14 @@
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
-            Event::WorkerSums { worker, tries, bad, .. } => {
+            Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
-                    known.samples.push_back(Sample { at: self.now, tries: *tries, bad: *bad });
+                    let at = self.now;
+                    let sample = Sample { at, tries: *tries, bad: *bad, mean: *mean, busy: load.busy };
+                    known.samples.push_back(sample);
+                    if known.samples.len() > SAMPLES {
+                        known.samples.pop_front();
+                    }
                 }
             }
             _ => {}
@@ -227,11 +233,12 @@
         let worker = self.workers.entry(listed.worker).or_insert_with(|| Worker {
             listed: listed.clone(),
             told: now,
-            health: Health::Sound,
+            factor: 1.0,
+            weighed: f64::NEG_INFINITY,
             samples: VecDeque::new(),
         });
         if listed.booted > worker.listed.booted {
-            worker.health = Health::Sound;
+            worker.factor = 1.0;
             worker.samples.clear();
         }
         if listed.phase != worker.listed.phase && worker.listed.phase == Phase::Ready {
@@ -342,68 +349,64 @@
         (cold + (1.0 - cold) * step.clamp(0.0, 1.0)).min(1.0)
     }
 
-    /// Health by symptom: tries gone bad at one worker while its peers' go well, whatever the cause
-    /// (errors, no answers, refused connections). Fleet-wide badness takes nobody out.
-    fn judge(&mut self) {
-        let (now, period) = (self.now, self.start.report_period);
-        let rest = self.start.operations.iter().map(|op| op.integration_timeout).fold(period, f64::max);
-        let mut sums: BTreeMap<WorkerId, (f64, f64)> = BTreeMap::new();
-        for (id, worker) in &mut self.workers {
-            worker.samples.retain(|sample| now - sample.at < 2.2 * period);
-            let sum = worker.samples.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.tries, sum.1 + s.bad));
-            sums.insert(*id, sum);
-            if let Health::Out { until, times } = worker.health {
-                if now >= until {
-                    worker.health = Health::Trial { times };
-                    worker.samples.clear();
-                }
+    /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
+    /// connections, slowness), or whose cores are busier, loses weight whatever the cause, and gets it back
+    /// as the small part left to it goes well. Only peers compare, so fleet-wide badness takes nobody out;
+    /// a report that does not come changes nothing.
+    fn weigh(&mut self) {
+        let (now, start) = (self.now, &self.start);
+        let settled = start.report_period + start.transit_worst;
+        let lost = 2.0 * start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
+        let (mut tries, mut cost, mut busy, mut known) = (0.0, 0.0, 0.0, 0.0);
+        for worker in self.workers.values() {
+            for sample in worker.samples.iter().filter(|sample| now - sample.at < 2.0 * settled) {
+                tries += sample.tries;
+                cost += sample.cost(lost);
+                busy += sample.busy.unwrap_or(0.0);
+                known += if sample.busy.is_some() { 1.0 } else { 0.0 };
             }
         }
-        let all = sums.values().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1));
-        let part = if all.0 > 0.0 { all.1 / all.0 } else { 0.0 };
-        self.crowded = part > if self.crowded { CROWDED.1 } else { CROWDED.0 };
-        let mut by_sickness: Vec<(f64, WorkerId)> = Vec::new();
-        for (&id, &(tries, bad)) in &sums {
-            let peers = (all.1 - bad) / (all.0 - tries).max(1.0);
+        let (mut all, mut low) = (0.0, 0.0);
+        for worker in self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready) {
+            all += self.weight(&worker.listed);
+            low += if worker.factor < HALF { self.weight(&worker.listed) } else { 0.0 };
+        }
+        let ids: Vec<WorkerId> = self.workers.keys().copied().collect();
+        for id in ids {
+            let (weight, warm) =
+                (self.weight(&self.workers[&id].listed), self.warmth(&self.workers[&id].listed));
             let worker = self.workers.get_mut(&id).expect("a known worker");
-            let sick = bad >= SICK_TRIES && bad > tries * SICK.max(SICK_MULTIPLE * peers);
-            match worker.health {
-                Health::Trial { .. } if tries >= SICK_TRIES && bad < tries * SICK => {
-                    worker.health = Health::Sound
-                }
-                Health::Sound | Health::Trial { .. } if sick => by_sickness.push((-bad / tries, id)),
-                _ => {}
+            let own: Vec<&Sample> =
+                worker.samples.iter().filter(|s| s.at > worker.weighed + settled).collect();
+            let n: f64 = own.iter().map(|sample| sample.tries).sum();
+            if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * start.report_period {
+                continue;
             }
-        }
-        by_sickness.sort_by(|a, b| a.partial_cmp(b).expect("parts are numbers"));
-        for (part, id) in by_sickness {
-            if !self.may_hold(id) {
+            let mut ratio = own.iter().map(|sample| sample.cost(lost)).sum::<f64>() / n / (cost / tries);
+            let loads: Vec<f64> = own.iter().filter_map(|sample| sample.busy).collect();
+            if busy > 0.1 * known && !loads.is_empty() {
+                let load = loads.iter().sum::<f64>() / loads.len() as f64 / (busy / known);
+                ratio = (ratio * load.max(0.2)).sqrt();
+            }
+            if ratio > 1.0 / DEADBAND && ratio < DEADBAND {
                 continue;
             }
-            let worker = self.workers.get_mut(&id).expect("a known worker");
-            let times = if let Health::Trial { times } = worker.health { times + 1 } else { 0 };
-            let until = now + rest * f64::from(1 << times.min(2));
-            worker.health = Health::Out { until, times };
-            worker.samples.clear();
-            let msg = format!("held back worker {}: {:.2} of its tries went bad", id.0, -part);
-            self.orders.push(Order::Log(msg));
-        }
-    }
-
-    /// Health may take out a bounded part of each table's weight.
-    fn may_hold(&self, id: WorkerId) -> bool {
-        self.tables.iter().all(|table| {
-            let (mut all, mut held) = (0.0, 0.0);
-            let open =
-                |worker: &&Worker| worker.listed.phase == Phase::Ready && self.open(table, &worker.listed);
-            for worker in self.workers.values().filter(open) {
-                all += self.weight(&worker.listed);
-                if worker.listed.worker == id || matches!(worker.health, Health::Out { .. }) {
-                    held += self.weight(&worker.listed);
+            let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(0.2, 1.6);
+            let most = if warm < 1.0 { 1.0 } else { FACTORS.1 };
+            let mut factor = (worker.factor * step).clamp(FACTORS.0, most);
+            if factor < HALF && worker.factor >= HALF {
+                if low + weight > all * LOW_MOST {
+                    factor = HALF;
+                } else {
+                    low += weight;
+                    let msg =
+                        format!("worker {} to {factor:.2} of its weight: cost {ratio:.2} of its peers", id.0);
+                    self.orders.push(Order::Log(msg));
                 }
             }
-            held <= all * HELD_MOST
-        })
+            worker.factor = factor;
+            worker.weighed = now;
+        }
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
@@ -413,9 +416,8 @@
         for (&id, worker) in &self.workers {
             let listed = &worker.listed;
             let leaves = listed.phase != Phase::Ready;
-            let out = leaves || matches!(worker.health, Health::Out { .. });
             let due = leaves.then_some(worker.told + PATIENCE * self.start.drain_grace);
-            wanted.push((Key::Hold(id), size(if out { 1.0 } else { 0.0 }), due));
+            wanted.push((Key::Hold(id), size(if leaves { 1.0 } else { 0.0 }), due));
         }
         for table in &self.tables {
             let open: Vec<&Worker> =
@@ -423,22 +425,20 @@
             let (mut all, mut usable) = (0.0, 0.0);
             for worker in &open {
                 all += self.weight(&worker.listed);
-                if worker.listed.phase == Phase::Ready && !matches!(worker.health, Health::Out { .. }) {
-                    usable += self.weight(&worker.listed) * self.warmth(&worker.listed);
+                if worker.listed.phase == Phase::Ready {
+                    usable +=
+                        self.weight(&worker.listed) * self.warmth(&worker.listed) * worker.factor.min(1.0);
                 }
             }
             // What others cannot take moves onto the cold: they get less of it than their part.
             let factor = self.start.overload_factor;
             let spared = (factor / 3.0).min(1.0) * (usable / f64::max(all, 1e-9) * factor / 2.0).min(1.0);
             for worker in open {
-                let mut weight = self.weight(&worker.listed);
+                let mut weight = self.weight(&worker.listed) * worker.factor;
                 let warmth = self.warmth(&worker.listed);
                 if warmth < 1.0 {
                     weight *= warmth * spared;
                 }
-                if matches!(worker.health, Health::Trial { .. }) {
-                    weight *= TRIAL;
-                }
                 if worker.listed.phase != Phase::Ready {
                     weight = 0.0;
                 }
