Let less in while the middle worker is overloaded

Cause: past capacity, queues fill with work that is answered too late and clients come again. Holds against anything that takes capacity away fleet-wide; may hurt when one slow minute reads as overload.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,8 @@
 /// Reports kept of each worker, and tries that are evidence enough to weigh it.
 const SAMPLES: usize = 12;
 const ENOUGH: f64 = 4.0;
+/// Reports kept of what came to each proxy.
+const RATES: usize = 3;
 /// A worker's weight follows the ratio of its cost to its peers' by this power, outside a deadband.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
@@ -32,6 +34,11 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
 const LOW_MOST: f64 = 0.35;
+/// Parts of tries gone bad, and means as a multiple of the latency objective, that show overload and calm.
+const OVERLOADED: (f64, f64) = (0.2, 0.8);
+const CALM: (f64, f64) = (0.06, 0.45);
+/// Steps of the part let in, and its least.
+const SHED: (f64, f64, f64) = (0.75, 1.1, 0.3);
 const NO_LIMIT: f64 = 1e6;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -111,6 +118,15 @@
     bound: bool,
     answered: u64,
     messages: VecDeque<Ms>,
+    /// Invocations a second that came lately, by operation.
+    demand: BTreeMap<OpId, VecDeque<f64>>,
+}
+
+impl Proxy {
+    fn demand(&self, op: OpId) -> f64 {
+        let rates = self.demand.get(&op);
+        rates.map_or(0.0, |rates| rates.iter().sum::<f64>() / rates.len().max(1) as f64)
+    }
 }
 
 struct Table {
@@ -136,6 +152,9 @@
     blocks: VecDeque<Block>,
     proven: Ms,
     changed: Ms,
+    /// Part of the demand that is let in, and when that last changed.
+    let_in: f64,
+    let_in_at: Ms,
     wake: bool,
     ask_at: Option<Ms>,
     orders: Vec<Order>,
@@ -156,6 +175,8 @@
             blocks: VecDeque::new(),
             proven: now,
             changed: f64::NEG_INFINITY,
+            let_in: 1.0,
+            let_in_at: now,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             orders: Vec::new(),
@@ -169,6 +190,7 @@
         self.update += 1;
         events.iter().for_each(|event| self.hear(event));
         self.weigh();
+        self.ration();
         self.lay_tables();
         self.plan();
         self.settle();
@@ -208,11 +230,21 @@
                     bound: false,
                     answered: self.mark,
                     messages: VecDeque::new(),
+                    demand: BTreeMap::new(),
                 };
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
+            Event::ProxySums { proxy, op, invs, over, .. } => {
+                if let Some(known) = self.proxies.get_mut(proxy) {
+                    let rates = known.demand.entry(*op).or_default();
+                    rates.push_back(invs * 1000.0 / over.max(1.0));
+                    if rates.len() > RATES {
+                        rates.pop_front();
+                    }
+                }
+            }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
                     let at = self.now;
@@ -409,6 +441,71 @@
         }
     }
 
+    /// Lets less in while most workers lose tries or answer too late, and more again once that is over.
+    /// One worker's trouble is no overload: the middle worker decides.
+    fn ration(&mut self) {
+        let (now, start) = (self.now, &self.start);
+        let settled = start.report_period + start.transit_worst;
+        if start.level_kind == LevelKind::Unheeded || now < self.let_in_at + settled + start.report_period {
+            return;
+        }
+        let objective = start.operations.iter().map(|op| op.latency_objective).fold(f64::INFINITY, f64::min);
+        let mut strains: Vec<(f64, f64)> = Vec::new();
+        for worker in self.workers.values() {
+            let own =
+                worker.samples.iter().filter(|s| s.at > self.let_in_at + settled && now - s.at < settled);
+            let (tries, bad, took) = own.fold((0.0, 0.0, 0.0), |sum, s| {
+                (sum.0 + s.tries, sum.1 + s.bad, sum.2 + (s.tries - s.bad) * s.mean)
+            });
+            if tries > 0.0 {
+                strains.push((bad / tries, took / f64::max(tries - bad, 1.0) / objective));
+            }
+        }
+        if (strains.len() as f64) < ENOUGH {
+            return;
+        }
+        let middle = |mut values: Vec<f64>| {
+            values.sort_by(|a, b| a.partial_cmp(b).expect("strains are numbers"));
+            values[values.len() / 2]
+        };
+        let lost = middle(strains.iter().map(|strain| strain.0).collect());
+        let late = middle(strains.iter().map(|strain| strain.1).collect());
+        let before = self.let_in;
+        if lost > OVERLOADED.0 || late > OVERLOADED.1 {
+            self.let_in = (before * SHED.0).max(SHED.2);
+        } else if lost < CALM.0 && late < CALM.1 {
+            self.let_in = (before * SHED.1).min(1.0);
+        }
+        if self.let_in != before {
+            self.let_in_at = now;
+            let msg =
+                format!("letting in {:.2}: {lost:.2} of tries bad, {late:.2} objectives taken", self.let_in);
+            self.orders.push(Order::Log(msg));
+        }
+    }
+
+    /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
+    fn level(&self, table: &Table, op: OpId) -> f64 {
+        if self.let_in >= 1.0 {
+            return if self.start.level_kind == LevelKind::Share { 1.0 } else { NO_LIMIT };
+        }
+        if self.start.level_kind == LevelKind::Share {
+            return self.let_in;
+        }
+        let reads = |proxy: &&Proxy| table.own.is_none_or(|own| own == proxy.zone);
+        let mut rates: Vec<f64> = self.proxies.values().filter(reads).map(|proxy| proxy.demand(op)).collect();
+        rates.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        let mut left = rates.iter().sum::<f64>() * self.let_in;
+        for (place, rate) in rates.iter().enumerate() {
+            let each = left / (rates.len() - place) as f64;
+            if *rate >= each {
+                return (each * 10.0).ceil() / 10.0;
+            }
+            left -= rate;
+        }
+        NO_LIMIT
+    }
+
     /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
         let mut wanted: Vec<(Key, Value, Option<Ms>)> = Vec::new();
@@ -446,9 +543,9 @@
                 wanted.push((Key::Line(table.id, worker.listed.worker), size(weight), None));
             }
             for place in (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1) {
-                let level = if self.start.level_kind == LevelKind::Share { 1.0 } else { NO_LIMIT };
-                let value = Value { size: level, retry: self.retry(table, place) };
-                wanted.push((Key::Level(table.id, OpId(place as u8)), value, None));
+                let op = OpId(place as u8);
+                let value = Value { size: self.level(table, op), retry: self.retry(table, place) };
+                wanted.push((Key::Level(table.id, op), value, None));
             }
         }
         let changed: Vec<Key> =
@@ -477,7 +574,10 @@
                     }
             }
         };
-        if again && false && patience < op.integration_timeout {
+        // Any further try multiplies an overload, and the tries moved on hit the cold.
+        if self.let_in < 1.0 {
+            Retry::Never
+        } else if again && patience < 0.0 {
             Retry::OnceOnFailure
         } else {
             Retry::IfUnrun
