--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -72,8 +72,7 @@
 #[derive(Clone, Debug)]
 pub struct Start {
     pub operations: Vec<Operation>,
-    pub managers: usize,
-    pub proxies: usize,
+    pub zones: Vec<ZoneId>,
     /// Keys fall into so many slices; 0 where proxies are bound to tables instead.
     pub slices: usize,
     pub level_kind: LevelKind,
@@ -87,7 +86,6 @@
     pub messages_over: Ms,
     pub transit_worst: Ms,
     pub report_period: Ms,
-    pub bare_most: Ms,
     pub drain_grace: Ms,
     pub warm_up: Ms,
     pub cold_share: f64,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -46,9 +46,7 @@
         return Err("info is no JSON object".into());
     }
     let mut names = Names::default();
-    for zone in texts(&info, "zones")? {
-        names.zone(zone);
-    }
+    let zones = texts(&info, "zones")?.into_iter().map(|zone| names.zone(zone)).collect();
     for machine in texts(&info, "skus")? {
         names.machine(machine);
     }
@@ -85,8 +83,7 @@
     }
     let start = Start {
         operations,
-        managers: count(&info, "n-instances")?,
-        proxies: count(&info, "domain.proxy-count")?,
+        zones,
         slices: count(&info, "domain.key-ranges")?,
         level_kind: match text(&info, "domain.level-kind")? {
             "share" => LevelKind::Share,
@@ -101,7 +98,6 @@
         messages_over: number(&info, "domain.counted-over-ms")?,
         transit_worst: number(&info, "domain.worst-transit-ms")?,
         report_period: number(&info, "domain.period-ms")?,
-        bare_most: number(&info, "domain.bare-ms")?,
         drain_grace: number(&info, "rules.drain-grace-ms")?,
         warm_up: number(&info, "rules.warm-up-ms")?,
         cold_share: number(&info, "rules.cold-share")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,13 +48,9 @@
     Level(TableId, OpId),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Value {
-    size: f64,
-    retry: Retry,
-}
-
-const NOTHING: Value = Value { size: 0.0, retry: Retry::Never };
+/// A weight, hold or level, and when a proxy tries again.
+type Value = (f64, Retry);
+const NOTHING: Value = (0.0, Retry::Never);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -67,16 +63,6 @@
     wanted: Value,
     sent: Value,
     state: State,
-    /// From then on it waits for no predecessor and may use the reserve.
-    due: Option<Ms>,
-}
-
-/// `parent` is answered before `child` is sent; `update` is the update that asked for it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Pair {
-    parent: Key,
-    child: Key,
-    update: u64,
 }
 
 /// One reply's messages, as far as no answer has proven that they left the channel.
@@ -88,21 +74,15 @@
     left: usize,
 }
 
+/// What proxies of a zone met at a worker; a bad try counts as if it had taken twice its objective.
 struct Sample {
     at: Ms,
     tries: f64,
     bad: f64,
-    mean: Ms,
+    cost: Ms,
     busy: Option<f64>,
 }
 
-impl Sample {
-    /// Time that its tries took, when one gone bad counts as `lost`.
-    fn cost(&self, lost: Ms) -> Ms {
-        (self.tries - self.bad) * self.mean + self.bad * lost
-    }
-}
-
 struct Worker {
     listed: Listed,
     told: Ms,
@@ -140,13 +120,16 @@
 
 pub struct Brain {
     start: Start,
+    /// What a try gone bad counts as having taken.
+    lost: Ms,
     rng: fastrand::Rng,
     now: Ms,
     workers: BTreeMap<WorkerId, Worker>,
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: Vec<Table>,
     entries: BTreeMap<Key, Entry>,
-    pairs: Vec<Pair>,
+    /// What is answered before what is sent, and the update that asked for it.
+    pairs: BTreeMap<(Key, Key), u64>,
     update: u64,
     mark: u64,
     blocks: VecDeque<Block>,
@@ -162,14 +145,17 @@
 
 impl Brain {
     pub fn new(now: Ms, seed: u64, start: Start) -> Self {
+        let tables = if start.slices > 0 { Vec::new() } else { tables(&start) };
+        let lost = 2.0 * start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
         Brain {
+            lost,
             rng: fastrand::Rng::with_seed(seed),
             now,
             workers: BTreeMap::new(),
             proxies: BTreeMap::new(),
-            tables: Vec::new(),
+            tables,
             entries: BTreeMap::new(),
-            pairs: Vec::new(),
+            pairs: BTreeMap::new(),
             update: 0,
             mark: 0,
             blocks: VecDeque::new(),
@@ -191,7 +177,6 @@
         events.iter().for_each(|event| self.hear(event));
         self.weigh();
         self.ration();
-        self.lay_tables();
         self.plan();
         self.settle();
         self.send();
@@ -238,21 +223,15 @@
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
             Event::ProxySums { proxy, op, invs, over, .. } => {
                 if let Some(known) = self.proxies.get_mut(proxy) {
-                    let rates = known.demand.entry(*op).or_default();
-                    rates.push_back(invs * 1000.0 / over.max(1.0));
-                    if rates.len() > RATES {
-                        rates.pop_front();
-                    }
+                    let rate = invs * 1000.0 / over.max(1.0);
+                    keep(known.demand.entry(*op).or_default(), rate, RATES);
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
-                    let at = self.now;
-                    let sample = Sample { at, tries: *tries, bad: *bad, mean: *mean, busy: load.busy };
-                    known.samples.push_back(sample);
-                    if known.samples.len() > SAMPLES {
-                        known.samples.pop_front();
-                    }
+                    let cost = (tries - bad) * mean + bad * self.lost;
+                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, cost, busy: load.busy };
+                    keep(&mut known.samples, sample, SAMPLES);
                 }
             }
             _ => {}
@@ -285,7 +264,7 @@
         let Some(proxy) = self.proxies.remove(&id) else { return };
         for (key, entry) in &mut self.entries {
             let owed = matches!(entry.state, State::Scheduled(mark) if mark > proxy.answered);
-            if owed && !reached(&self.tables, &self.proxies, *key).any(|_| true) {
+            if owed && reach(&self.tables, &self.proxies, *key).is_empty() {
                 entry.state = State::Idle;
             }
         }
@@ -333,33 +312,6 @@
             && table.own.is_none_or(|zone| zone == worker.zone)
     }
 
-    /// One table for each set of workers open to an operation; one a zone where only its own may serve.
-    fn lay_tables(&mut self) {
-        if self.start.slices > 0 {
-            return;
-        }
-        let mut zones: Vec<ZoneId> = self.proxies.values().map(|proxy| proxy.zone).collect();
-        zones.sort();
-        zones.dedup();
-        for (place, op) in self.start.operations.iter().enumerate().take(32) {
-            let wanted = if op.own_zone { zones.iter().map(|&z| Some(z)).collect() } else { vec![None] };
-            for own in wanted {
-                let same = |table: &&mut Table| {
-                    let like = &self.start.operations[table.like.0 as usize];
-                    table.own == own && like.zones == op.zones && like.machines == op.machines
-                };
-                let ops = 1 << place;
-                match self.tables.iter_mut().find(same) {
-                    Some(table) => table.ops |= ops,
-                    None => {
-                        let id = TableId(self.tables.len() as u16);
-                        self.tables.push(Table { id, ops, like: OpId(place as u8), own });
-                    }
-                }
-            }
-        }
-    }
-
     fn weight(&self, listed: &Listed) -> f64 {
         if listed.weight > 0.0 {
             return listed.weight;
@@ -388,12 +340,11 @@
     fn weigh(&mut self) {
         let (now, start) = (self.now, &self.start);
         let settled = start.report_period + start.transit_worst;
-        let lost = 2.0 * start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
         let (mut tries, mut cost, mut busy, mut known) = (0.0, 0.0, 0.0, 0.0);
         for worker in self.workers.values() {
             for sample in worker.samples.iter().filter(|sample| now - sample.at < 2.0 * settled) {
                 tries += sample.tries;
-                cost += sample.cost(lost);
+                cost += sample.cost;
                 busy += sample.busy.unwrap_or(0.0);
                 known += if sample.busy.is_some() { 1.0 } else { 0.0 };
             }
@@ -414,7 +365,7 @@
             if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * start.report_period {
                 continue;
             }
-            let mut ratio = own.iter().map(|sample| sample.cost(lost)).sum::<f64>() / n / (cost / tries);
+            let mut ratio = own.iter().map(|sample| sample.cost).sum::<f64>() / n / (cost / tries);
             let loads: Vec<f64> = own.iter().filter_map(|sample| sample.busy).collect();
             if busy > 0.1 * known && !loads.is_empty() {
                 let load = loads.iter().sum::<f64>() / loads.len() as f64 / (busy / known);
@@ -454,20 +405,16 @@
         for worker in self.workers.values() {
             let own =
                 worker.samples.iter().filter(|s| s.at > self.let_in_at + settled && now - s.at < settled);
-            let (tries, bad, took) = own.fold((0.0, 0.0, 0.0), |sum, s| {
-                (sum.0 + s.tries, sum.1 + s.bad, sum.2 + (s.tries - s.bad) * s.mean)
-            });
+            let sum = |part: fn(&Sample) -> f64| own.clone().map(part).sum::<f64>();
+            let (tries, bad) = (sum(|s| s.tries), sum(|s| s.bad));
             if tries > 0.0 {
+                let took = sum(|s| s.cost) - bad * self.lost;
                 strains.push((bad / tries, took / f64::max(tries - bad, 1.0) / objective));
             }
         }
         if (strains.len() as f64) < ENOUGH {
             return;
         }
-        let middle = |mut values: Vec<f64>| {
-            values.sort_by(|a, b| a.partial_cmp(b).expect("strains are numbers"));
-            values[values.len() / 2]
-        };
         let lost = middle(strains.iter().map(|strain| strain.0).collect());
         let late = middle(strains.iter().map(|strain| strain.1).collect());
         let before = self.let_in;
@@ -494,7 +441,7 @@
         }
         let reads = |proxy: &&Proxy| table.own.is_none_or(|own| own == proxy.zone);
         let mut rates: Vec<f64> = self.proxies.values().filter(reads).map(|proxy| proxy.demand(op)).collect();
-        rates.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * self.let_in;
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
@@ -506,51 +453,44 @@
         NO_LIMIT
     }
 
+    /// The weight that a worker can carry now: listed, by symptom and by warmth.
+    fn usable(&self, worker: &Worker) -> f64 {
+        let ready = worker.listed.phase == Phase::Ready;
+        let weight = self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed);
+        if ready {
+            weight
+        } else {
+            0.0
+        }
+    }
+
     /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
-        let mut wanted: Vec<(Key, Value, Option<Ms>)> = Vec::new();
-        let size = |size: f64| Value { size, retry: Retry::Never };
+        let mut wanted: Vec<(Key, Value)> = Vec::new();
         for (&id, worker) in &self.workers {
-            let listed = &worker.listed;
-            let leaves = listed.phase != Phase::Ready;
-            let due = leaves.then_some(worker.told + PATIENCE * self.start.drain_grace);
-            wanted.push((Key::Hold(id), size(if leaves { 1.0 } else { 0.0 }), due));
+            let out = if worker.listed.phase == Phase::Ready { 0.0 } else { 1.0 };
+            wanted.push((Key::Hold(id), (out, Retry::Never)));
         }
         for table in &self.tables {
-            let open: Vec<&Worker> =
-                self.workers.values().filter(|worker| self.open(table, &worker.listed)).collect();
-            let (mut all, mut usable) = (0.0, 0.0);
-            for worker in &open {
-                all += self.weight(&worker.listed);
-                if worker.listed.phase == Phase::Ready {
-                    usable +=
-                        self.weight(&worker.listed) * self.warmth(&worker.listed) * worker.factor.min(1.0);
-                }
-            }
+            let open = || self.workers.values().filter(|worker| self.open(table, &worker.listed));
+            let all: f64 = open().map(|worker| self.weight(&worker.listed)).sum();
+            let part = open().map(|worker| self.usable(worker)).sum::<f64>() / all.max(1e-9);
             // What others cannot take moves onto the cold: they get less of it than their part.
-            let factor = self.start.overload_factor;
-            let spared = (factor / 3.0).min(1.0) * (usable / f64::max(all, 1e-9) * factor / 2.0).min(1.0);
-            for worker in open {
-                let mut weight = self.weight(&worker.listed) * worker.factor;
-                let warmth = self.warmth(&worker.listed);
-                if warmth < 1.0 {
-                    weight *= warmth * spared;
-                }
-                if worker.listed.phase != Phase::Ready {
-                    weight = 0.0;
-                }
-                let weight = (weight * 1000.0).round() / 1000.0;
-                wanted.push((Key::Line(table.id, worker.listed.worker), size(weight), None));
+            let multiple = self.start.overload_factor;
+            let spared = (multiple / 3.0).min(1.0) * (part * multiple / 2.0).min(1.0);
+            for worker in open() {
+                let cold = self.warmth(&worker.listed) < 1.0;
+                let weight = self.usable(worker) * if cold { spared } else { 1.0 };
+                let line = Key::Line(table.id, worker.listed.worker);
+                wanted.push((line, ((weight * 1000.0).round() / 1000.0, Retry::Never)));
             }
             for place in (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1) {
                 let op = OpId(place as u8);
-                let value = Value { size: self.level(table, op), retry: self.retry(table, place) };
-                wanted.push((Key::Level(table.id, op), value, None));
+                wanted.push((Key::Level(table.id, op), (self.level(table, op), self.retry(table, place))));
             }
         }
-        let changed: Vec<Key> =
-            wanted.into_iter().filter_map(|(key, v, due)| self.want(key, v, due)).collect();
-        changed.into_iter().for_each(|key| self.order(key));
+        wanted.retain(|(key, value)| self.want(*key, *value));
+        wanted.into_iter().for_each(|(key, _)| self.order(key));
     }
 
     /// When proxies may try again: what may run again after any failure, while failures are few; the rest
@@ -577,7 +517,7 @@
         // Any further try multiplies an overload, and the tries moved on hit the cold.
         if self.let_in < 1.0 {
             Retry::Never
-        } else if again && patience < 0.0 {
+        } else if again && patience < op.integration_timeout {
             Retry::OnceOnFailure
         } else {
             Retry::IfUnrun
@@ -585,41 +525,48 @@
     }
 
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
-    /// counts as unapplied. Returns the key if anything is to be sent for it now.
-    fn want(&mut self, key: Key, value: Value, due: Option<Ms>) -> Option<Key> {
-        let fresh = Entry { wanted: NOTHING, sent: NOTHING, state: State::Completed, due: None };
+    /// counts as unapplied. Returns whether anything is to be sent for it now.
+    fn want(&mut self, key: Key, value: Value) -> bool {
+        let fresh = Entry { wanted: NOTHING, sent: NOTHING, state: State::Completed };
         let entry = self.entries.entry(key).or_insert(fresh);
-        entry.due = due;
         if entry.wanted == value {
-            return None;
+            return false;
         }
         entry.wanted = value;
-        if entry.sent == value {
+        if entry.sent != value {
+            entry.state = State::Idle;
+        } else if entry.state == State::Idle {
             // The channel is in order: the value on its way is the one wanted again.
-            if entry.state == State::Idle {
-                entry.state = State::Scheduled(self.mark);
-            }
-            return None;
+            entry.state = State::Scheduled(self.mark);
         }
-        entry.state = State::Idle;
-        Some(key)
+        entry.sent != value
+    }
+
+    fn held(&self, id: WorkerId) -> Value {
+        self.entries.get(&Key::Hold(id)).map_or(NOTHING, |hold| hold.sent)
     }
 
     /// The pairs that a changed line brings: lines go behind the hold, a hold is lifted behind the line
     /// that eases its worker in, and a table's last sound line is held behind its replacements.
     fn order(&mut self, key: Key) {
-        let removed = self.entries[&key].wanted.size == 0.0;
+        let removed = self.entries[&key].wanted.0 == 0.0;
         match key {
             Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
-            Key::Line(_, id) if self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent.size > 0.0) => {
-                self.before(key, Key::Hold(id))
-            }
+            Key::Line(_, id) if self.held(id) != NOTHING => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
-                for place in 0..self.tables.len() {
-                    let table = self.tables[place].id;
-                    let others = self.replacements(table, id);
-                    let held = self.entries.contains_key(&Key::Line(table, id));
-                    if held && !others.iter().any(|(_, sound)| *sound) {
+                for table in 0..self.tables.len() as u16 {
+                    let others: Vec<(Key, bool)> = self
+                        .entries
+                        .iter()
+                        .filter_map(|(line, entry)| match *line {
+                            Key::Line(of, other) if of.0 == table && other != id && entry.wanted.0 > 0.0 => {
+                                let sound = entry.sent.0 > 0.0 && entry.state == State::Completed;
+                                Some((*line, sound && self.held(other) == NOTHING))
+                            }
+                            _ => None,
+                        })
+                        .collect();
+                    if !others.iter().any(|(_, sound)| *sound) {
                         others.into_iter().for_each(|(line, _)| self.before(line, key));
                     }
                 }
@@ -628,136 +575,93 @@
         }
     }
 
-    /// The other lines that a table is to have, and whether each is in force already.
-    fn replacements(&self, table: TableId, id: WorkerId) -> Vec<(Key, bool)> {
-        let sound = |worker: &WorkerId| {
-            let hold = self.entries.get(&Key::Hold(*worker));
-            hold.is_none_or(|hold| hold.wanted.size == 0.0)
-        };
-        let lines = self.entries.range(Key::Line(table, WorkerId(0))..=Key::Line(table, WorkerId(u32::MAX)));
-        let mut found = Vec::new();
-        for (key, entry) in lines {
-            let Key::Line(_, worker) = *key else { continue };
-            if worker != id && entry.wanted.size > 0.0 && sound(&worker) {
-                found.push((*key, entry.sent.size > 0.0 && entry.state == State::Completed));
-            }
-        }
-        found
-    }
-
     /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
     /// of its first line linked to every child of its second, so that no implied order is lost.
     fn before(&mut self, parent: Key, child: Key) {
-        if parent == child || self.pairs.iter().any(|pair| (pair.parent, pair.child) == (parent, child)) {
-            return;
-        }
-        self.pairs.push(Pair { parent, child, update: self.update });
-        while let Some(cycle) = self.cycle(parent) {
-            let oldest = *cycle.iter().min_by_key(|pair| pair.update).expect("a cycle has pairs");
-            self.pairs.retain(|pair| *pair != oldest);
-            let parents: Vec<Key> =
-                self.pairs.iter().filter(|p| p.child == oldest.parent).map(|p| p.parent).collect();
-            let children: Vec<Key> =
-                self.pairs.iter().filter(|p| p.parent == oldest.child).map(|p| p.child).collect();
-            for &parent in &parents {
-                for &child in &children {
-                    let linked = Pair { parent, child, update: oldest.update };
-                    let known = |p: &Pair| (p.parent, p.child) == (parent, child);
-                    if parent != child && !self.pairs.iter().any(known) {
-                        self.pairs.push(linked);
-                    }
+        self.pairs.insert((parent, child), self.update);
+        while let Some(cycle) = self.path(parent, parent, &mut Vec::new()) {
+            let oldest = cycle.into_iter().min_by_key(|pair| self.pairs[pair]).expect("a cycle has pairs");
+            let update = self.pairs.remove(&oldest).expect("a known pair");
+            let pairs: Vec<(Key, Key)> = self.pairs.keys().copied().collect();
+            for (above, _) in pairs.iter().filter(|pair| pair.1 == oldest.0) {
+                for (_, below) in pairs.iter().filter(|pair| pair.0 == oldest.1 && pair.1 != *above) {
+                    self.pairs.entry((*above, *below)).or_insert(update);
                 }
             }
         }
     }
 
-    /// The pairs of a cycle through a line, if there is one.
-    fn cycle(&self, from: Key) -> Option<Vec<Pair>> {
-        let mut paths: Vec<Vec<Pair>> =
-            self.pairs.iter().filter(|p| p.parent == from).map(|p| vec![*p]).collect();
-        let mut seen: Vec<Key> = Vec::new();
-        while let Some(path) = paths.pop() {
-            let end = path[path.len() - 1].child;
-            if end == from {
-                return Some(path);
-            }
-            if seen.contains(&end) {
-                continue;
-            }
-            seen.push(end);
-            for pair in self.pairs.iter().filter(|pair| pair.parent == end) {
-                let mut longer = path.clone();
-                longer.push(*pair);
-                paths.push(longer);
+    /// The pairs that lead from one line to another, if any do.
+    fn path(&self, from: Key, to: Key, seen: &mut Vec<Key>) -> Option<Vec<(Key, Key)>> {
+        for pair in self.pairs.keys().filter(|pair| pair.0 == from) {
+            if pair.1 == to {
+                return Some(vec![*pair]);
+            }
+            if !seen.contains(&pair.1) {
+                seen.push(pair.1);
+                if let Some(mut path) = self.path(pair.1, to, seen) {
+                    path.push(*pair);
+                    return Some(path);
+                }
             }
         }
         None
     }
 
-    fn reach(&self, key: Key) -> Vec<ProxyId> {
-        reached(&self.tables, &self.proxies, key).collect()
-    }
-
     /// A line is completed when every proxy that it was written to answered a mark sent after it.
     fn settle(&mut self) {
-        let scheduled =
-            |entry: &Entry| if let State::Scheduled(mark) = entry.state { Some(mark) } else { None };
-        let keys: Vec<(Key, u64)> = self
-            .entries
-            .iter()
-            .filter_map(|(key, entry)| scheduled(entry).map(|mark| (*key, mark)))
-            .collect();
-        for (key, mark) in keys {
-            if self.reach(key).iter().all(|id| self.proxies[id].answered >= mark) {
-                self.entries.get_mut(&key).expect("a known key").state = State::Completed;
+        for (key, entry) in &mut self.entries {
+            let State::Scheduled(mark) = entry.state else { continue };
+            if reach(&self.tables, &self.proxies, *key).iter().all(|id| self.proxies[id].answered >= mark) {
+                entry.state = State::Completed;
             }
         }
-        let done = |key: &Key| self.entries.get(key).is_none_or(|entry| entry.state == State::Completed);
-        self.pairs.retain(|pair| !done(&pair.parent) && !done(&pair.child));
+        let entries = &self.entries;
+        let done = |key: &Key| entries.get(key).is_none_or(|entry| entry.state == State::Completed);
+        self.pairs.retain(|pair, _| !done(&pair.0) && !done(&pair.1));
     }
 
     /// Tops the waiting lines up to half the backlog: drains first, then binds, then the largest changes.
+    /// Drains alone may use the reserve, and once overdue they wait for no answer: guards the drain grace
+    /// against stalled proxies, lost answers and a slow channel.
     fn send(&mut self) {
         let (now, most) = (self.now, self.start.lines_waiting_most);
         let waiting = self.waiting();
         let each = self.start.message_overhead + 2.0;
         let reserve = (self.proxies.len() as f64 * each).min(most * TOPPED / 4.0);
-        let mut message = Message { lines: BTreeMap::new(), orders: Vec::new() };
-        let behind: Vec<Key> = self.pairs.iter().map(|pair| pair.child).collect();
-        let ready = |key: &Key| !behind.contains(key);
-        let idle = |entry: &Entry| entry.state == State::Idle;
-
-        let holds: Vec<(Key, Ms)> =
-            self.entries.iter().filter(|(_, e)| idle(e)).filter_map(|(k, e)| Some((*k, e.due?))).collect();
-        for (key, due) in holds {
-            let overdue = now >= due;
-            let room = most * if overdue { TOPPED_OVERDUE } else { TOPPED } - waiting;
-            if overdue || ready(&key) {
-                self.add(key, &mut message, room, 1.0);
-            }
-        }
-        let mut unbound: Vec<(f64, ProxyId)> =
-            self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
-        unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
-        for (_, id) in unbound {
-            if !self.bind(id, &mut message, most * TOPPED - reserve - waiting) {
-                break;
-            }
-        }
         let gap = match self.start.messages_most {
             0 => self.start.report_period / 2.0,
             most => self.start.messages_over / (most as f64 * ORDINARY_MESSAGES),
         };
-        let mut changes: Vec<(f64, Key)> = Vec::new();
-        for (key, entry) in self.entries.iter().filter(|(_, entry)| idle(entry)) {
-            let large = (entry.wanted.size - entry.sent.size).abs();
-            if ready(key) && (now >= self.changed + gap || self.reach(*key).is_empty()) {
-                changes.push((-large, *key));
+        let (mut drains, mut changes) = (Vec::new(), Vec::new());
+        for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.state == State::Idle) {
+            let ready = !self.pairs.keys().any(|pair| pair.1 == *key);
+            match key {
+                Key::Hold(id) if entry.wanted.0 > 0.0 => {
+                    let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
+                    if ready || overdue {
+                        drains.push((if overdue { TOPPED_OVERDUE } else { TOPPED }, *key));
+                    }
+                }
+                _ if !ready => {}
+                _ if now >= self.changed + gap || reach(&self.tables, &self.proxies, *key).is_empty() => {
+                    changes.push((-(entry.wanted.0 - entry.sent.0).abs(), *key));
+                }
+                _ => {}
             }
         }
+        let mut message = Message { lines: BTreeMap::new(), orders: Vec::new() };
+        for (part, key) in drains {
+            self.add(key, &mut message, most * part - waiting, 1.0);
+        }
+        let room = most * TOPPED - reserve - waiting;
+        let mut unbound: Vec<(f64, ProxyId)> =
+            self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
+        unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        unbound.into_iter().for_each(|(_, id)| self.bind(id, &mut message, room));
         changes.sort_by(|a, b| a.partial_cmp(b).expect("weights are numbers"));
         for (_, key) in changes {
-            if self.add(key, &mut message, most * TOPPED - reserve - waiting, ORDINARY_MESSAGES) {
+            if self.add(key, &mut message, room, ORDINARY_MESSAGES) {
                 self.changed = now;
             }
         }
@@ -765,71 +669,65 @@
         if message.lines.is_empty() {
             return;
         }
-        self.orders.push(Order::Mark { number: MarkId((self.mark + 1) as u16), everyone: false });
         self.mark += 1;
-        let block = Block {
-            mark: self.mark,
-            at: now,
-            lines: message.lines.values().sum(),
-            least: message.lines.values().copied().fold(f64::INFINITY, f64::min),
-            left: message.lines.len(),
-        };
-        self.blocks.push_back(block);
+        self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
+        let least = message.lines.values().copied().fold(f64::INFINITY, f64::min);
+        let (lines, left) = (message.lines.values().sum(), message.lines.len());
+        self.blocks.push_back(Block { mark: self.mark, at: now, lines, least, left });
         for id in message.lines.keys() {
             self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
         }
     }
 
-    /// Whether a proxy may be written one more message, when `part` of the limit is open to it.
-    fn may_write(&mut self, id: ProxyId, part: f64) -> bool {
-        let (now, over) = (self.now, self.start.messages_over);
-        let most = self.start.messages_most;
-        let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
-        proxy.messages.retain(|at| now - at <= over * 1.02);
-        most == 0 || (proxy.messages.len() as f64) < (most as f64 * part).floor()
+    /// Whether a message of so many more lines may go to these proxies, within `part` of their limit.
+    fn fits(&mut self, to: &[ProxyId], cost: f64, message: &Message, room: f64, part: f64) -> bool {
+        let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
+        let mut free = message.lines.values().sum::<f64>() + cost <= room;
+        for id in to.iter().filter(|id| !message.lines.contains_key(id)) {
+            let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
+            sent.retain(|at| now - at <= over * 1.02);
+            free &= most == 0 || (sent.len() as f64) < (most as f64 * part).floor();
+        }
+        free
     }
 
     /// Adds a line to this reply if there is room for it at every proxy that it goes to.
     fn add(&mut self, key: Key, message: &mut Message, room: f64, part: f64) -> bool {
-        let reach = self.reach(key);
+        let to = reach(&self.tables, &self.proxies, key);
         let each = self.start.message_overhead + 1.0;
-        let new: Vec<ProxyId> = reach.iter().copied().filter(|id| !message.lines.contains_key(id)).collect();
-        let cost = reach.len() as f64 + new.len() as f64 * each;
-        let fits = reach.is_empty() || message.lines.values().sum::<f64>() + cost <= room;
-        if !fits || !new.iter().all(|id| self.may_write(*id, part)) {
+        let new = to.iter().filter(|id| !message.lines.contains_key(id)).count();
+        let cost = to.len() as f64 + new as f64 * each;
+        if !to.is_empty() && !self.fits(&to, cost, message, room, part) {
             return false;
         }
-        for id in &reach {
+        for id in &to {
             *message.lines.entry(*id).or_insert(each) += 1.0;
         }
         let entry = self.entries.get_mut(&key).expect("a known key");
         entry.sent = entry.wanted;
-        entry.state = if reach.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
-        let size = entry.wanted.size;
+        entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
+        let (size, retry) = entry.wanted;
         message.orders.push(match key {
             Key::Hold(worker) => Order::HoldBack { worker, out: size > 0.0 },
             Key::Line(table, worker) => Order::SetLine { table, worker, weight: size },
-            Key::Level(table, op) => {
-                let reach = Reach::Table(table);
-                Order::Admit { reach, ops: 1 << op.0, level: size, retry: entry.wanted.retry }
+            Key::Level(id, op) => {
+                Order::Admit { reach: Reach::Table(id), ops: 1 << op.0, level: size, retry }
             }
         });
         true
     }
 
     /// Binds a joined proxy to its tables if their lines fit; a table with nothing to pick waits.
-    fn bind(&mut self, id: ProxyId, message: &mut Message, room: f64) -> bool {
-        let each = self.start.message_overhead + 1.0;
-        let mut cost = if message.lines.contains_key(&id) { 0.0 } else { each };
+    fn bind(&mut self, id: ProxyId, message: &mut Message, room: f64) {
+        let mut cost = if message.lines.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
         let mut binds = Vec::new();
         let zone = self.proxies[&id].zone;
         for table in self.tables.iter().filter(|table| table.own.is_none_or(|own| own == zone)) {
             let (mut lines, mut sound) = (1.0, false);
-            for key in self.entries.iter().filter(|(_, entry)| entry.sent.size > 0.0).map(|(key, _)| key) {
+            for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent.0 > 0.0) {
                 match *key {
                     Key::Line(of, worker) if of == table.id => {
-                        let held =
-                            self.entries.get(&Key::Hold(worker)).is_some_and(|hold| hold.sent.size > 0.0);
+                        let held = self.held(worker) != NOTHING;
                         lines += if held { 2.0 } else { 1.0 };
                         sound |= !held;
                     }
@@ -842,13 +740,11 @@
                 binds.push(Order::Bind { table: table.id, ops: table.ops, proxy: id });
             }
         }
-        if binds.is_empty() || message.lines.values().sum::<f64>() + cost > room || !self.may_write(id, 1.0) {
-            return binds.is_empty();
+        if !binds.is_empty() && self.fits(&[id], cost, message, room, 1.0) {
+            *message.lines.entry(id).or_insert(0.0) += cost;
+            message.orders.append(&mut binds);
+            self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
         }
-        *message.lines.entry(id).or_insert(0.0) += cost;
-        message.orders.append(&mut binds);
-        self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
-        true
     }
 }
 
@@ -859,16 +755,45 @@
 }
 
 /// The proxies that a change of this line is written to.
-fn reached<'a>(
-    tables: &[Table],
-    proxies: &'a BTreeMap<ProxyId, Proxy>,
-    key: Key,
-) -> impl Iterator<Item = ProxyId> + 'a {
-    let own = match key {
-        Key::Hold(_) => None,
-        Key::Line(id, _) | Key::Level(id, _) => Some(tables[id.0 as usize].own),
+fn reach(tables: &[Table], proxies: &BTreeMap<ProxyId, Proxy>, key: Key) -> Vec<ProxyId> {
+    let reads = |proxy: &Proxy| match key {
+        Key::Hold(_) => true,
+        Key::Line(id, _) | Key::Level(id, _) => {
+            proxy.bound && tables[id.0 as usize].own.is_none_or(|own| own == proxy.zone)
+        }
     };
-    let reads =
-        move |proxy: &Proxy| own.is_none_or(|own| proxy.bound && own.is_none_or(|zone| zone == proxy.zone));
-    proxies.iter().filter(move |(_, proxy)| reads(proxy)).map(|(id, _)| *id)
+    proxies.iter().filter(|(_, proxy)| reads(proxy)).map(|(id, _)| *id).collect()
+}
+
+/// One table for each set of workers open to an operation; one a zone where only its own may serve.
+fn tables(start: &Start) -> Vec<Table> {
+    let mut tables: Vec<Table> = Vec::new();
+    for (place, op) in start.operations.iter().enumerate().take(32) {
+        for own in if op.own_zone { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
+            let open = |table: &Table| {
+                let like = &start.operations[table.like.0 as usize];
+                table.own == own && like.zones == op.zones && like.machines == op.machines
+            };
+            match tables.iter_mut().find(|table| open(table)) {
+                Some(table) => table.ops |= 1 << place,
+                None => {
+                    let id = TableId(tables.len() as u16);
+                    tables.push(Table { id, ops: 1 << place, like: OpId(place as u8), own });
+                }
+            }
+        }
+    }
+    tables
+}
+
+fn middle(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    samples.push_back(sample);
+    if samples.len() > most {
+        samples.pop_front();
+    }
 }
