--- a/src/brain.rs
+++ b/src/brain.rs
@@ -486,44 +486,16 @@
             }
             for place in (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1) {
                 let op = OpId(place as u8);
-                wanted.push((Key::Level(table.id, op), (self.level(table, op), self.retry(table, place))));
+                // Proof that a try never ran makes another safe for every operation. Any other try, measured,
+                // multiplies an overload: a try given up goes on working at its worker.
+                let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
+                wanted.push((Key::Level(table.id, op), (self.level(table, op), retry)));
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
         wanted.into_iter().for_each(|(key, _)| self.order(key));
     }
 
-    /// When proxies may try again: what may run again after any failure, while failures are few; the rest
-    /// only on proof that the first try never ran, or where all possible targets drop the repeat.
-    fn retry(&self, table: &Table, place: usize) -> Retry {
-        let op = &self.start.operations[place];
-        let patience = op.latency_objective * self.start.try_objectives;
-        let mut open = self.workers.values().map(|w| &w.listed).filter(|listed| self.open(table, listed));
-        let first = open.next();
-        let again = match op.repeat {
-            Repeat::Idempotent => true,
-            Repeat::SideEffecting => false,
-            Repeat::Fingerprinted { group, window } => {
-                2.0 * patience < window
-                    && match group {
-                        Group::All => true,
-                        Group::Zone => first.is_some_and(|a| open.all(|b| a.zone == b.zone)),
-                        Group::Cell => {
-                            first.is_some_and(|a| open.all(|b| (a.zone, a.cell) == (b.zone, b.cell)))
-                        }
-                    }
-            }
-        };
-        // Any further try multiplies an overload, and the tries moved on hit the cold.
-        if self.let_in < 1.0 {
-            Retry::Never
-        } else if again && patience < op.integration_timeout {
-            Retry::OnceOnFailure
-        } else {
-            Retry::IfUnrun
-        }
-    }
-
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
     /// counts as unapplied. Returns whether anything is to be sent for it now.
     fn want(&mut self, key: Key, value: Value) -> bool {
