--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,9 @@
 /// A worker's weight follows the ratio of its cost to its peers' by this power, outside a deadband.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
+const STEPS: (f64, f64) = (0.2, 1.6);
+/// Cores less busy than this on average tell nothing of speed.
+const IDLE: f64 = 0.1;
 /// Bounds of the multiple, and the part of the fleet's weight that may fall below half of it.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
@@ -39,6 +42,8 @@
 const CALM: (f64, f64) = (0.06, 0.45);
 /// Steps of the part let in, and its least.
 const SHED: (f64, f64, f64) = (0.75, 1.1, 0.3);
+/// Levels differ by this multiple, so that small changes of the demand are not written.
+const LEVELS: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,12 +79,12 @@
     left: usize,
 }
 
-/// What proxies of a zone met at a worker; a bad try counts as if it had taken twice its objective.
+/// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
 struct Sample {
     at: Ms,
     tries: f64,
     bad: f64,
-    cost: Ms,
+    took: Ms,
     busy: Option<f64>,
 }
 
@@ -102,13 +107,6 @@
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
 
-impl Proxy {
-    fn demand(&self, op: OpId) -> f64 {
-        let rates = self.demand.get(&op);
-        rates.map_or(0.0, |rates| rates.iter().sum::<f64>() / rates.len().max(1) as f64)
-    }
-}
-
 struct Table {
     id: TableId,
     ops: u32,
@@ -120,8 +118,6 @@
 
 pub struct Brain {
     start: Start,
-    /// What a try gone bad counts as having taken.
-    lost: Ms,
     rng: fastrand::Rng,
     now: Ms,
     workers: BTreeMap<WorkerId, Worker>,
@@ -146,9 +142,7 @@
 impl Brain {
     pub fn new(now: Ms, seed: u64, start: Start) -> Self {
         let tables = if start.slices > 0 { Vec::new() } else { tables(&start) };
-        let lost = 2.0 * start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
         Brain {
-            lost,
             rng: fastrand::Rng::with_seed(seed),
             now,
             workers: BTreeMap::new(),
@@ -209,14 +203,9 @@
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
-                let joined = Proxy {
-                    zone: *zone,
-                    inv_per_second: *inv_per_second,
-                    bound: false,
-                    answered: self.mark,
-                    messages: VecDeque::new(),
-                    demand: BTreeMap::new(),
-                };
+                let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
+                let (messages, demand) = (VecDeque::new(), BTreeMap::new());
+                let joined = Proxy { zone, inv_per_second, bound: false, answered, messages, demand };
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => self.left(*proxy),
@@ -229,8 +218,8 @@
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
-                    let cost = (tries - bad) * mean + bad * self.lost;
-                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, cost, busy: load.busy };
+                    let took = (tries - bad) * mean;
+                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
                     keep(&mut known.samples, sample, SAMPLES);
                 }
             }
@@ -313,15 +302,10 @@
     }
 
     fn weight(&self, listed: &Listed) -> f64 {
-        if listed.weight > 0.0 {
-            return listed.weight;
-        }
-        let known = self.workers.values().map(|worker| worker.listed.weight).filter(|weight| *weight > 0.0);
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), weight| (sum + weight, count + 1.0));
-        if count > 0.0 {
-            sum / count
-        } else {
-            1.0
+        let known = self.workers.values().map(|worker| worker.listed.weight);
+        match listed.weight {
+            weight if weight > 0.0 => weight,
+            _ => mean(known.filter(|weight| *weight > 0.0)).unwrap_or(1.0),
         }
     }
 
@@ -333,90 +317,94 @@
         (cold + (1.0 - cold) * step.clamp(0.0, 1.0)).min(1.0)
     }
 
+    /// What was met at a worker, by the reports since then: the sums, and the mean of its busyness.
+    fn evidence(&self, worker: &Worker, since: Ms) -> Sample {
+        let recent = || worker.samples.iter().filter(|sample| sample.at > since);
+        Sample {
+            at: since,
+            tries: recent().map(|sample| sample.tries).sum(),
+            bad: recent().map(|sample| sample.bad).sum(),
+            took: recent().map(|sample| sample.took).sum(),
+            busy: mean(recent().filter_map(|sample| sample.busy)),
+        }
+    }
+
+    /// Time after which reports tell what an order did.
+    fn settled(&self) -> Ms {
+        self.start.report_period + self.start.transit_worst
+    }
+
     /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
     /// connections, slowness), or whose cores are busier, loses weight whatever the cause, and gets it back
     /// as the small part left to it goes well. Only peers compare, so fleet-wide badness takes nobody out;
     /// a report that does not come changes nothing.
     fn weigh(&mut self) {
-        let (now, start) = (self.now, &self.start);
-        let settled = start.report_period + start.transit_worst;
-        let (mut tries, mut cost, mut busy, mut known) = (0.0, 0.0, 0.0, 0.0);
-        for worker in self.workers.values() {
-            for sample in worker.samples.iter().filter(|sample| now - sample.at < 2.0 * settled) {
-                tries += sample.tries;
-                cost += sample.cost;
-                busy += sample.busy.unwrap_or(0.0);
-                known += if sample.busy.is_some() { 1.0 } else { 0.0 };
-            }
-        }
-        let (mut all, mut low) = (0.0, 0.0);
-        for worker in self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready) {
-            all += self.weight(&worker.listed);
-            low += if worker.factor < HALF { self.weight(&worker.listed) } else { 0.0 };
-        }
-        let ids: Vec<WorkerId> = self.workers.keys().copied().collect();
-        for id in ids {
-            let (weight, warm) =
-                (self.weight(&self.workers[&id].listed), self.warmth(&self.workers[&id].listed));
-            let worker = self.workers.get_mut(&id).expect("a known worker");
-            let own: Vec<&Sample> =
-                worker.samples.iter().filter(|s| s.at > worker.weighed + settled).collect();
-            let n: f64 = own.iter().map(|sample| sample.tries).sum();
-            if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * start.report_period {
+        let (now, settled) = (self.now, self.settled());
+        // A bad try counts as if it had taken twice the longest latency objective.
+        let objectives = self.start.operations.iter().map(|op| op.latency_objective);
+        let lost = 2.0 * objectives.fold(0.0, f64::max);
+        let peers: Vec<Sample> =
+            self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled)).collect();
+        let tries: f64 = peers.iter().map(|met| met.tries).sum();
+        let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
+        let busy = mean(peers.iter().filter_map(|met| met.busy)).filter(|busy| *busy > IDLE);
+        let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
+        let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
+        let mut low: f64 =
+            ready().filter(|worker| worker.factor < HALF).map(|worker| self.weight(&worker.listed)).sum();
+        let mut weighed: Vec<(WorkerId, f64)> = Vec::new();
+        for (&id, worker) in &self.workers {
+            let own = self.evidence(worker, worker.weighed + settled);
+            let n = own.tries;
+            if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period {
                 continue;
             }
-            let mut ratio = own.iter().map(|sample| sample.cost).sum::<f64>() / n / (cost / tries);
-            let loads: Vec<f64> = own.iter().filter_map(|sample| sample.busy).collect();
-            if busy > 0.1 * known && !loads.is_empty() {
-                let load = loads.iter().sum::<f64>() / loads.len() as f64 / (busy / known);
-                ratio = (ratio * load.max(0.2)).sqrt();
+            let mut ratio = (own.took + own.bad * lost) / n / cost;
+            if let (Some(own), Some(busy)) = (own.busy, busy) {
+                ratio = (ratio * (own / busy).max(0.2)).sqrt();
             }
             if ratio > 1.0 / DEADBAND && ratio < DEADBAND {
                 continue;
             }
-            let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(0.2, 1.6);
-            let most = if warm < 1.0 { 1.0 } else { FACTORS.1 };
+            let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(STEPS.0, STEPS.1);
+            let most = if self.warmth(&worker.listed) < 1.0 { 1.0 } else { FACTORS.1 };
             let mut factor = (worker.factor * step).clamp(FACTORS.0, most);
             if factor < HALF && worker.factor >= HALF {
-                if low + weight > all * LOW_MOST {
+                low += self.weight(&worker.listed);
+                if low > all * LOW_MOST {
+                    low -= self.weight(&worker.listed);
                     factor = HALF;
-                } else {
-                    low += weight;
-                    let msg =
-                        format!("worker {} to {factor:.2} of its weight: cost {ratio:.2} of its peers", id.0);
-                    self.orders.push(Order::Log(msg));
                 }
+                let text =
+                    format!("worker {} to {factor:.2} of its weight: cost {ratio:.2} of its peers", id.0);
+                self.orders.push(Order::Log(text));
             }
-            worker.factor = factor;
-            worker.weighed = now;
+            weighed.push((id, factor));
+        }
+        for (id, factor) in weighed {
+            let worker = self.workers.get_mut(&id).expect("a known worker");
+            (worker.factor, worker.weighed) = (factor, now);
         }
     }
 
     /// Lets less in while most workers lose tries or answer too late, and more again once that is over.
     /// One worker's trouble is no overload: the middle worker decides.
     fn ration(&mut self) {
-        let (now, start) = (self.now, &self.start);
-        let settled = start.report_period + start.transit_worst;
-        if start.level_kind == LevelKind::Unheeded || now < self.let_in_at + settled + start.report_period {
+        let (now, settled) = (self.now, self.settled());
+        if now < self.let_in_at + settled + self.start.report_period {
             return;
         }
-        let objective = start.operations.iter().map(|op| op.latency_objective).fold(f64::INFINITY, f64::min);
-        let mut strains: Vec<(f64, f64)> = Vec::new();
-        for worker in self.workers.values() {
-            let own =
-                worker.samples.iter().filter(|s| s.at > self.let_in_at + settled && now - s.at < settled);
-            let sum = |part: fn(&Sample) -> f64| own.clone().map(part).sum::<f64>();
-            let (tries, bad) = (sum(|s| s.tries), sum(|s| s.bad));
-            if tries > 0.0 {
-                let took = sum(|s| s.cost) - bad * self.lost;
-                strains.push((bad / tries, took / f64::max(tries - bad, 1.0) / objective));
-            }
-        }
-        if (strains.len() as f64) < ENOUGH {
+        let since = (self.let_in_at + settled).max(now - settled);
+        let met: Vec<Sample> = self.workers.values().map(|worker| self.evidence(worker, since)).collect();
+        let met: Vec<&Sample> = met.iter().filter(|met| met.tries > 0.0).collect();
+        if (met.len() as f64) < ENOUGH {
             return;
         }
-        let lost = middle(strains.iter().map(|strain| strain.0).collect());
-        let late = middle(strains.iter().map(|strain| strain.1).collect());
+        let objective =
+            self.start.operations.iter().map(|op| op.latency_objective).fold(f64::INFINITY, f64::min);
+        let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
+        let late =
+            middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect()) / objective;
         let before = self.let_in;
         if lost > OVERLOADED.0 || late > OVERLOADED.1 {
             self.let_in = (before * SHED.0).max(SHED.2);
@@ -425,28 +413,32 @@
         }
         if self.let_in != before {
             self.let_in_at = now;
-            let msg =
+            let text =
                 format!("letting in {:.2}: {lost:.2} of tries bad, {late:.2} objectives taken", self.let_in);
-            self.orders.push(Order::Log(msg));
+            self.orders.push(Order::Log(text));
         }
     }
 
     /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
     fn level(&self, table: &Table, op: OpId) -> f64 {
-        if self.let_in >= 1.0 {
-            return if self.start.level_kind == LevelKind::Share { 1.0 } else { NO_LIMIT };
-        }
-        if self.start.level_kind == LevelKind::Share {
-            return self.let_in;
+        match self.start.level_kind {
+            LevelKind::Share => return self.let_in,
+            _ if self.let_in >= 1.0 => return NO_LIMIT,
+            _ => {}
         }
         let reads = |proxy: &&Proxy| table.own.is_none_or(|own| own == proxy.zone);
-        let mut rates: Vec<f64> = self.proxies.values().filter(reads).map(|proxy| proxy.demand(op)).collect();
+        let mut rates: Vec<f64> = self
+            .proxies
+            .values()
+            .filter(reads)
+            .map(|proxy| mean(proxy.demand.get(&op).into_iter().flatten().copied()).unwrap_or(0.0))
+            .collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * self.let_in;
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
             if *rate >= each {
-                return (each * 10.0).ceil() / 10.0;
+                return LEVELS.powf((each.max(0.1).ln() / LEVELS.ln()).round());
             }
             left -= rate;
         }
@@ -455,12 +447,9 @@
 
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
-        let ready = worker.listed.phase == Phase::Ready;
-        let weight = self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed);
-        if ready {
-            weight
-        } else {
-            0.0
+        match worker.listed.phase {
+            Phase::Ready => self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed),
+            _ => 0.0,
         }
     }
 
@@ -758,6 +747,11 @@
     tables
 }
 
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    (count > 0.0).then(|| sum / count)
+}
+
 fn middle(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values[values.len() / 2]
