--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,8 +75,6 @@
     mark: u64,
     at: Ms,
     lines: f64,
-    least: f64,
-    left: usize,
 }
 
 /// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
@@ -128,7 +126,9 @@
     pairs: BTreeMap<(Key, Key), u64>,
     update: u64,
     mark: u64,
-    blocks: VecDeque<Block>,
+    blocks: Vec<Block>,
+    /// The lines of this reply's message to each proxy.
+    message: BTreeMap<ProxyId, f64>,
     proven: Ms,
     changed: Ms,
     /// Part of the demand that is let in, and when that last changed.
@@ -152,7 +152,8 @@
             pairs: BTreeMap::new(),
             update: 0,
             mark: 0,
-            blocks: VecDeque::new(),
+            blocks: Vec::new(),
+            message: BTreeMap::new(),
             proven: now,
             changed: f64::NEG_INFINITY,
             let_in: 1.0,
@@ -269,29 +270,17 @@
         }
         proxy.answered = mark;
         self.proven = self.now;
-        while self.blocks.front().is_some_and(|block| block.mark < mark) {
-            self.blocks.pop_front();
-        }
-        if let Some(block) = self.blocks.front_mut().filter(|block| block.mark == mark) {
-            block.lines -= block.least;
-            block.left -= 1;
-            if block.left == 0 {
-                self.blocks.pop_front();
-            }
-        }
+        let all = self.proxies.values().all(|proxy| proxy.answered >= mark);
+        self.blocks.retain(|block| block.mark > mark || block.mark == mark && !all);
     }
 
     /// Lines that may still wait in the channel. Its pace is not known, so only answers and a very slow
     /// pace count: guards against a channel slowed several times, stalled proxies and lost answers.
-    fn waiting(&mut self) -> f64 {
-        let Some(first) = self.blocks.front() else { return 0.0 };
+    fn waiting(&self) -> f64 {
+        let Some(first) = self.blocks.first() else { return 0.0 };
         let since = self.now - first.at.max(self.proven);
         let sent = since * self.start.channel_rate * SLOWEST / 1000.0;
-        let waiting = self.blocks.iter().map(|block| block.lines).sum::<f64>() - sent;
-        if waiting <= 0.0 {
-            self.blocks.clear();
-        }
-        waiting.max(0.0)
+        (self.blocks.iter().map(|block| block.lines).sum::<f64>() - sent).max(0.0)
     }
 
     fn open(&self, table: &Table, worker: &Listed) -> bool {
@@ -611,40 +600,37 @@
                 _ => {}
             }
         }
-        let mut message = Message { lines: BTreeMap::new(), orders: Vec::new() };
         for (part, key) in drains {
-            self.add(key, &mut message, most * part - waiting, 1.0);
+            self.add(key, most * part - waiting, 1.0);
         }
         let room = most * TOPPED - reserve - waiting;
         let mut unbound: Vec<(f64, ProxyId)> =
             self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
-        unbound.into_iter().for_each(|(_, id)| self.bind(id, &mut message, room));
+        unbound.into_iter().for_each(|(_, id)| self.bind(id, room));
         changes.sort_by(|a, b| a.partial_cmp(b).expect("weights are numbers"));
         for (_, key) in changes {
-            if self.add(key, &mut message, room, ORDINARY_MESSAGES) {
+            if self.add(key, room, ORDINARY_MESSAGES) {
                 self.changed = now;
             }
         }
-        self.orders.append(&mut message.orders);
-        if message.lines.is_empty() {
+        let message = std::mem::take(&mut self.message);
+        if message.is_empty() {
             return;
         }
         self.mark += 1;
         self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
-        let least = message.lines.values().copied().fold(f64::INFINITY, f64::min);
-        let (lines, left) = (message.lines.values().sum(), message.lines.len());
-        self.blocks.push_back(Block { mark: self.mark, at: now, lines, least, left });
-        for id in message.lines.keys() {
+        self.blocks.push(Block { mark: self.mark, at: now, lines: message.values().sum() });
+        for id in message.keys() {
             self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
         }
     }
 
     /// Whether a message of so many more lines may go to these proxies, within `part` of their limit.
-    fn fits(&mut self, to: &[ProxyId], cost: f64, message: &Message, room: f64, part: f64) -> bool {
+    fn fits(&mut self, to: &[ProxyId], cost: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
-        let mut free = message.lines.values().sum::<f64>() + cost <= room;
-        for id in to.iter().filter(|id| !message.lines.contains_key(id)) {
+        let mut free = self.message.values().sum::<f64>() + cost <= room;
+        for id in to.iter().filter(|id| !self.message.contains_key(id)) {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
             free &= most == 0 || (sent.len() as f64) < (most as f64 * part).floor();
@@ -653,22 +639,22 @@
     }
 
     /// Adds a line to this reply if there is room for it at every proxy that it goes to.
-    fn add(&mut self, key: Key, message: &mut Message, room: f64, part: f64) -> bool {
+    fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
         let to = reach(&self.tables, &self.proxies, key);
         let each = self.start.message_overhead + 1.0;
-        let new = to.iter().filter(|id| !message.lines.contains_key(id)).count();
+        let new = to.iter().filter(|id| !self.message.contains_key(id)).count();
         let cost = to.len() as f64 + new as f64 * each;
-        if !to.is_empty() && !self.fits(&to, cost, message, room, part) {
+        if !to.is_empty() && !self.fits(&to, cost, room, part) {
             return false;
         }
         for id in &to {
-            *message.lines.entry(*id).or_insert(each) += 1.0;
+            *self.message.entry(*id).or_insert(each) += 1.0;
         }
         let entry = self.entries.get_mut(&key).expect("a known key");
         entry.sent = entry.wanted;
         entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
         let (size, retry) = entry.wanted;
-        message.orders.push(match key {
+        self.orders.push(match key {
             Key::Hold(worker) => Order::HoldBack { worker, out: size > 0.0 },
             Key::Line(table, worker) => Order::SetLine { table, worker, weight: size },
             Key::Level(id, op) => {
@@ -679,42 +665,36 @@
     }
 
     /// Binds a joined proxy to its tables if their lines fit; a table with nothing to pick waits.
-    fn bind(&mut self, id: ProxyId, message: &mut Message, room: f64) {
-        let mut cost = if message.lines.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
+    fn bind(&mut self, id: ProxyId, room: f64) {
+        let mut cost = if self.message.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
         let mut binds = Vec::new();
         let zone = self.proxies[&id].zone;
         for table in self.tables.iter().filter(|table| table.own.is_none_or(|own| own == zone)) {
-            let (mut lines, mut sound) = (1.0, false);
+            let mut sound = false;
             for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent.0 > 0.0) {
                 match *key {
                     Key::Line(of, worker) if of == table.id => {
-                        let held = self.held(worker) != NOTHING;
-                        lines += if held { 2.0 } else { 1.0 };
-                        sound |= !held;
+                        sound |= self.held(worker) == NOTHING;
+                        cost += 1.0;
                     }
-                    Key::Level(of, _) if of == table.id => lines += 1.0,
-                    _ => {}
+                    Key::Line(..) => {}
+                    Key::Level(of, _) if of != table.id => {}
+                    Key::Hold(_) | Key::Level(..) => cost += 1.0,
                 }
             }
             if sound {
-                cost += lines;
+                cost += 1.0;
                 binds.push(Order::Bind { table: table.id, ops: table.ops, proxy: id });
             }
         }
-        if !binds.is_empty() && self.fits(&[id], cost, message, room, 1.0) {
-            *message.lines.entry(id).or_insert(0.0) += cost;
-            message.orders.append(&mut binds);
+        if !binds.is_empty() && self.fits(&[id], cost, room, 1.0) {
+            *self.message.entry(id).or_insert(0.0) += cost;
+            self.orders.append(&mut binds);
             self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
         }
     }
 }
 
-/// What this reply writes: its orders, and the lines of the message to each proxy.
-struct Message {
-    lines: BTreeMap<ProxyId, f64>,
-    orders: Vec<Order>,
-}
-
 /// The proxies that a change of this line is written to.
 fn reach(tables: &[Table], proxies: &BTreeMap<ProxyId, Proxy>, key: Key) -> Vec<ProxyId> {
     let reads = |proxy: &Proxy| match key {
