--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -255,7 +255,11 @@
         to: Receiver,
         content: Vec<u8>,
     },
-    Log(String),
+    /// A line for the people on call, about a worker if one is named.
+    Log {
+        about: Option<WorkerId>,
+        text: String,
+    },
     FollowList(bool),
     FetchList,
     /// A weight of 0 removes the line.
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -304,7 +304,8 @@
                 Receiver::All => writeln!(reply, "BROADCAST_TO all {text}"),
             }
         }
-        Order::Log(text) => writeln!(reply, "JOURNAL_LINE {}", text.replace(['\n', '\r'], " ")),
+        Order::Log { about: Some(id), text } => writeln!(reply, "JOURNAL_LINE {} {text}", worker(id)),
+        Order::Log { about: None, text } => writeln!(reply, "JOURNAL_LINE {text}"),
         Order::FollowList(on) => writeln!(reply, "KEEP_INFORMED {}", u8::from(*on)),
         Order::FetchList => writeln!(reply, "PULL"),
         Order::SetLine { table, worker: id, weight } => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,16 +31,14 @@
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
-/// Cores less busy than this on average tell nothing of speed.
-const IDLE: f64 = 0.1;
 /// Bounds of the multiple, and the part of the fleet's weight that may fall below half of it.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
 const LOW_MOST: f64 = 0.35;
-/// Parts of tries gone bad, and means as a multiple of the latency objective, that show overload and calm.
+/// Parts of tries gone bad, and means in latency objectives, that show overload and calm; the steps of the
+/// part let in and its least.
 const OVERLOADED: (f64, f64) = (0.2, 0.8);
 const CALM: (f64, f64) = (0.06, 0.45);
-/// Steps of the part let in, and its least.
 const SHED: (f64, f64, f64) = (0.75, 1.1, 0.3);
 /// Levels differ by this multiple, so that small changes of the demand are not written.
 const LEVELS: f64 = 1.1;
@@ -70,11 +68,11 @@
     state: State,
 }
 
-/// One reply's messages, as far as no answer has proven that they left the channel.
+/// The lines of one reply's messages that no answer has proven to have left the channel.
 struct Block {
     mark: u64,
     at: Ms,
-    lines: f64,
+    lines: BTreeMap<ProxyId, f64>,
 }
 
 /// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
@@ -105,15 +103,24 @@
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
 
+/// The operations (bit k is operation k) that are open to the same workers.
 struct Table {
     id: TableId,
     ops: u32,
-    /// One of its operations: all of them are open to the same workers.
-    like: OpId,
+    zones: Option<Vec<ZoneId>>,
+    machines: Option<Vec<MachineId>>,
     /// Only proxies and workers of this zone.
     own: Option<ZoneId>,
 }
 
+impl Table {
+    fn open(&self, worker: &Listed) -> bool {
+        self.zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
+            && self.machines.as_ref().is_none_or(|machines| machines.contains(&worker.machine))
+            && self.own.is_none_or(|own| own == worker.zone)
+    }
+}
+
 pub struct Brain {
     start: Start,
     rng: fastrand::Rng,
@@ -175,13 +182,12 @@
         self.plan();
         self.settle();
         self.send();
-        if self.ask_at.is_some_and(|at| now >= at) {
-            self.ask_at = None;
+        if self.ask_at.take_if(|at| now >= *at).is_some() {
             self.orders.push(Order::FollowList(true));
         }
         if std::mem::take(&mut self.wake) {
-            let beat = (self.start.report_period / 8.0).max(20.0);
-            self.orders.push(Order::Wake { after: beat, handle: "beat".into() });
+            let after = (self.start.report_period / 8.0).max(20.0);
+            self.orders.push(Order::Wake { after, handle: "beat".into() });
         }
         std::mem::take(&mut self.orders)
     }
@@ -193,14 +199,11 @@
                 self.ask_at = self.start.list_asked.then_some(self.now + apart);
             }
             Event::List { kind, workers, .. } => {
-                if *kind != ListKind::Changes {
-                    let absent = |id: &WorkerId| !workers.iter().any(|listed| listed.worker == *id);
-                    let gone: Vec<WorkerId> = self.workers.keys().copied().filter(absent).collect();
-                    gone.into_iter().for_each(|id| {
-                        self.list(Listed { phase: Phase::Gone, ..self.workers[&id].listed.clone() })
-                    });
-                }
-                workers.iter().for_each(|listed| self.list(listed.clone()));
+                let listed = |worker: &Worker| workers.iter().any(|w| w.worker == worker.listed.worker);
+                let absent = self.workers.values().filter(|w| *kind != ListKind::Changes && !listed(w));
+                let gone: Vec<Listed> =
+                    absent.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() }).collect();
+                gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
@@ -230,17 +233,12 @@
 
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, listed: Listed) {
-        let now = self.now;
-        let worker = self.workers.entry(listed.worker).or_insert_with(|| Worker {
-            listed: listed.clone(),
-            told: now,
-            factor: 1.0,
-            weighed: f64::NEG_INFINITY,
-            samples: VecDeque::new(),
-        });
+        let (now, samples) = (self.now, VecDeque::new());
+        let fresh =
+            Worker { listed: listed.clone(), told: now, factor: 1.0, weighed: f64::NEG_INFINITY, samples };
+        let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
-            worker.factor = 1.0;
-            worker.samples.clear();
+            (worker.factor, worker.samples) = (1.0, VecDeque::new());
         }
         if listed.phase != worker.listed.phase && worker.listed.phase == Phase::Ready {
             worker.told = now;
@@ -264,14 +262,13 @@
     fn answered(&mut self, wire: MarkId, id: ProxyId) {
         let behind = (self.mark.wrapping_sub(u64::from(wire.0))) & 0xffff;
         let Some(mark) = self.mark.checked_sub(behind) else { return };
-        let Some(proxy) = self.proxies.get_mut(&id) else { return };
-        if mark <= proxy.answered {
-            return;
-        }
+        let Some(proxy) = self.proxies.get_mut(&id).filter(|proxy| proxy.answered < mark) else { return };
         proxy.answered = mark;
         self.proven = self.now;
-        let all = self.proxies.values().all(|proxy| proxy.answered >= mark);
-        self.blocks.retain(|block| block.mark > mark || block.mark == mark && !all);
+        self.blocks.retain_mut(|block| {
+            block.lines.retain(|to, _| block.mark > mark || *to != id);
+            block.mark >= mark && !block.lines.is_empty()
+        });
     }
 
     /// Lines that may still wait in the channel. Its pace is not known, so only answers and a very slow
@@ -280,14 +277,7 @@
         let Some(first) = self.blocks.first() else { return 0.0 };
         let since = self.now - first.at.max(self.proven);
         let sent = since * self.start.channel_rate * SLOWEST / 1000.0;
-        (self.blocks.iter().map(|block| block.lines).sum::<f64>() - sent).max(0.0)
-    }
-
-    fn open(&self, table: &Table, worker: &Listed) -> bool {
-        let op = &self.start.operations[table.like.0 as usize];
-        op.zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
-            && op.machines.as_ref().is_none_or(|machines| machines.contains(&worker.machine))
-            && table.own.is_none_or(|zone| zone == worker.zone)
+        (self.blocks.iter().flat_map(|block| block.lines.values()).sum::<f64>() - sent).max(0.0)
     }
 
     fn weight(&self, listed: &Listed) -> f64 {
@@ -336,7 +326,7 @@
             self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled)).collect();
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
-        let busy = mean(peers.iter().filter_map(|met| met.busy)).filter(|busy| *busy > IDLE);
+        let busy = mean(peers.iter().filter_map(|met| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let mut low: f64 =
@@ -350,7 +340,7 @@
             }
             let mut ratio = (own.took + own.bad * lost) / n / cost;
             if let (Some(own), Some(busy)) = (own.busy, busy) {
-                ratio = (ratio * (own / busy).max(0.2)).sqrt();
+                ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
             if ratio > 1.0 / DEADBAND && ratio < DEADBAND {
                 continue;
@@ -364,9 +354,8 @@
                     low -= self.weight(&worker.listed);
                     factor = HALF;
                 }
-                let text =
-                    format!("worker {} to {factor:.2} of its weight: cost {ratio:.2} of its peers", id.0);
-                self.orders.push(Order::Log(text));
+                let text = format!("to {factor:.2} of its weight: cost {ratio:.2} of its peers");
+                self.orders.push(Order::Log { about: Some(id), text });
             }
             weighed.push((id, factor));
         }
@@ -404,7 +393,7 @@
             self.let_in_at = now;
             let text =
                 format!("letting in {:.2}: {lost:.2} of tries bad, {late:.2} objectives taken", self.let_in);
-            self.orders.push(Order::Log(text));
+            self.orders.push(Order::Log { about: None, text });
         }
     }
 
@@ -415,6 +404,8 @@
             _ if self.let_in >= 1.0 => return NO_LIMIT,
             _ => {}
         }
+        // An operation that nobody was seen to ask for has no rate to share: guards a manager that has
+        // just started, and a capped report, against closing it.
         let reads = |proxy: &&Proxy| table.own.is_none_or(|own| own == proxy.zone);
         let mut rates: Vec<f64> = self
             .proxies
@@ -426,7 +417,7 @@
         let mut left = rates.iter().sum::<f64>() * self.let_in;
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
-            if *rate >= each {
+            if *rate >= each && each > 0.0 {
                 return LEVELS.powf((each.max(0.1).ln() / LEVELS.ln()).round());
             }
             left -= rate;
@@ -450,7 +441,7 @@
             wanted.push((Key::Hold(id), (out, Retry::Never)));
         }
         for table in &self.tables {
-            let open = || self.workers.values().filter(|worker| self.open(table, &worker.listed));
+            let open = || self.workers.values().filter(|worker| table.open(&worker.listed));
             let all: f64 = open().map(|worker| self.weight(&worker.listed)).sum();
             let part = open().map(|worker| self.usable(worker)).sum::<f64>() / all.max(1e-9);
             // What others cannot take moves onto the cold: they get less of it than their part.
@@ -505,19 +496,17 @@
             Key::Line(_, id) if self.held(id) != NOTHING => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
                 for table in 0..self.tables.len() as u16 {
-                    let others: Vec<(Key, bool)> = self
-                        .entries
-                        .iter()
-                        .filter_map(|(line, entry)| match *line {
-                            Key::Line(of, other) if of.0 == table && other != id && entry.wanted.0 > 0.0 => {
-                                let sound = entry.sent.0 > 0.0 && entry.state == State::Completed;
-                                Some((*line, sound && self.held(other) == NOTHING))
-                            }
-                            _ => None,
-                        })
-                        .collect();
-                    if !others.iter().any(|(_, sound)| *sound) {
-                        others.into_iter().for_each(|(line, _)| self.before(line, key));
+                    let (mut others, mut sound) = (Vec::new(), false);
+                    for (line, entry) in &self.entries {
+                        let Key::Line(of, other) = *line else { continue };
+                        if of.0 == table && other != id && entry.wanted.0 > 0.0 {
+                            others.push(*line);
+                            let sent = entry.sent.0 > 0.0 && entry.state == State::Completed;
+                            sound |= sent && self.held(other) == NOTHING;
+                        }
+                    }
+                    if !sound {
+                        others.into_iter().for_each(|line| self.before(line, key));
                     }
                 }
             }
@@ -543,19 +532,18 @@
 
     /// The pairs that lead from one line to another, if any do.
     fn path(&self, from: Key, to: Key, seen: &mut Vec<Key>) -> Option<Vec<(Key, Key)>> {
-        for pair in self.pairs.keys().filter(|pair| pair.0 == from) {
+        self.pairs.keys().filter(|pair| pair.0 == from).find_map(|pair| {
             if pair.1 == to {
                 return Some(vec![*pair]);
             }
-            if !seen.contains(&pair.1) {
-                seen.push(pair.1);
-                if let Some(mut path) = self.path(pair.1, to, seen) {
-                    path.push(*pair);
-                    return Some(path);
-                }
+            if seen.contains(&pair.1) {
+                return None;
             }
-        }
-        None
+            seen.push(pair.1);
+            let mut path = self.path(pair.1, to, seen)?;
+            path.push(*pair);
+            Some(path)
+        })
     }
 
     /// A line is completed when every proxy that it was written to answered a mark sent after it.
@@ -586,18 +574,15 @@
         let (mut drains, mut changes) = (Vec::new(), Vec::new());
         for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.state == State::Idle) {
             let ready = !self.pairs.keys().any(|pair| pair.1 == *key);
-            match key {
-                Key::Hold(id) if entry.wanted.0 > 0.0 => {
-                    let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
-                    if ready || overdue {
-                        drains.push((if overdue { TOPPED_OVERDUE } else { TOPPED }, *key));
-                    }
-                }
-                _ if !ready => {}
-                _ if now >= self.changed + gap || reach(&self.tables, &self.proxies, *key).is_empty() => {
-                    changes.push((-(entry.wanted.0 - entry.sent.0).abs(), *key));
+            if let (Key::Hold(id), true) = (key, entry.wanted.0 > 0.0) {
+                let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
+                if ready || overdue {
+                    drains.push((if overdue { TOPPED_OVERDUE } else { TOPPED }, *key));
                 }
-                _ => {}
+            } else if ready
+                && (now >= self.changed + gap || reach(&self.tables, &self.proxies, *key).is_empty())
+            {
+                changes.push((-(entry.wanted.0 - entry.sent.0).abs(), *key));
             }
         }
         for (part, key) in drains {
@@ -620,10 +605,10 @@
         }
         self.mark += 1;
         self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
-        self.blocks.push(Block { mark: self.mark, at: now, lines: message.values().sum() });
         for id in message.keys() {
             self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
         }
+        self.blocks.push(Block { mark: self.mark, at: now, lines: message });
     }
 
     /// Whether a message of so many more lines may go to these proxies, within `part` of their limit.
@@ -672,15 +657,11 @@
         for table in self.tables.iter().filter(|table| table.own.is_none_or(|own| own == zone)) {
             let mut sound = false;
             for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent.0 > 0.0) {
-                match *key {
-                    Key::Line(of, worker) if of == table.id => {
-                        sound |= self.held(worker) == NOTHING;
-                        cost += 1.0;
-                    }
-                    Key::Line(..) => {}
-                    Key::Level(of, _) if of != table.id => {}
-                    Key::Hold(_) | Key::Level(..) => cost += 1.0,
+                if let Key::Line(of, worker) = *key {
+                    sound |= of == table.id && self.held(worker) == NOTHING;
                 }
+                let of = if let Key::Line(of, _) | Key::Level(of, _) = *key { of } else { table.id };
+                cost += if of == table.id { 1.0 } else { 0.0 };
             }
             if sound {
                 cost += 1.0;
@@ -711,16 +692,13 @@
     let mut tables: Vec<Table> = Vec::new();
     for (place, op) in start.operations.iter().enumerate().take(32) {
         for own in if op.own_zone { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
-            let open = |table: &Table| {
-                let like = &start.operations[table.like.0 as usize];
-                table.own == own && like.zones == op.zones && like.machines == op.machines
-            };
-            match tables.iter_mut().find(|table| open(table)) {
-                Some(table) => table.ops |= 1 << place,
-                None => {
-                    let id = TableId(tables.len() as u16);
-                    tables.push(Table { id, ops: 1 << place, like: OpId(place as u8), own });
-                }
+            let (zones, machines) = (op.zones.clone(), op.machines.clone());
+            let same = |t: &&mut Table| t.own == own && t.zones == zones && t.machines == machines;
+            if let Some(table) = tables.iter_mut().find(same) {
+                table.ops |= 1 << place;
+            } else {
+                let id = TableId(tables.len() as u16);
+                tables.push(Table { id, ops: 1 << place, zones, machines, own });
             }
         }
     }
--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,166 @@
+//! One tiny host: it hands events to a brain and keeps what the orders would have made of the proxies.
+
+use juniperrail::Brain;
+use juniperrail_interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const T: TableId = TableId(0);
+
+pub struct Host {
+    pub brain: Brain,
+    pub now: Ms,
+    pub weights: BTreeMap<(TableId, WorkerId), f64>,
+    pub held: BTreeSet<WorkerId>,
+    pub binds: BTreeMap<ProxyId, Vec<TableId>>,
+    pub admitted: Vec<(f64, Retry)>,
+    pub marks: Vec<MarkId>,
+    /// The times of the replies that wrote to proxies.
+    pub messages: Vec<Ms>,
+}
+
+pub fn operation(repeat: Repeat) -> Operation {
+    Operation {
+        latency_objective: 500.0,
+        integration_timeout: 2000.0,
+        billed_value: 1.0,
+        repeat,
+        zones: None,
+        machines: None,
+        own_zone: false,
+    }
+}
+
+pub fn start() -> Start {
+    Start {
+        operations: vec![operation(Repeat::Idempotent), operation(Repeat::SideEffecting)],
+        zones: vec![ZoneId(0), ZoneId(1)],
+        slices: 0,
+        level_kind: LevelKind::Share,
+        try_objectives: 1.0,
+        channel_rate: 1000.0,
+        lines_waiting_most: 2000.0,
+        message_overhead: 4.0,
+        messages_most: 0,
+        messages_over: 10_000.0,
+        transit_worst: 400.0,
+        report_period: 1000.0,
+        drain_grace: 3000.0,
+        warm_up: 16_000.0,
+        cold_share: 0.25,
+        overload_factor: 4.0,
+        list_asked: false,
+        ask_within: 10_000.0,
+    }
+}
+
+pub fn listed(worker: u32, phase: Phase) -> Listed {
+    Listed {
+        worker: WorkerId(worker),
+        phase,
+        booted: None,
+        zone: ZoneId((worker % 2) as u16),
+        machine: MachineId(0),
+        cell: CellId(0),
+        weight: 1.0,
+    }
+}
+
+pub fn list(kind: ListKind, workers: Vec<Listed>) -> Event {
+    Event::List { kind, version: 1, workers }
+}
+
+pub fn change(workers: Vec<Listed>) -> Event {
+    list(ListKind::Changes, workers)
+}
+
+pub fn joined(proxy: u16) -> Event {
+    Event::Joined { proxy: ProxyId(proxy), fresh: true, inv_per_second: 10.0, zone: ZoneId(proxy % 2) }
+}
+
+pub fn sums(worker: u32, tries: f64, bad: f64, mean: Ms) -> Event {
+    let (zone, worker, load) = (ZoneId(0), WorkerId(worker), Load::default());
+    Event::WorkerSums { zone, worker, tries, bad, mean, over: 1000.0, load }
+}
+
+impl Host {
+    pub fn with(start: Start) -> Self {
+        Host {
+            brain: Brain::new(1000.0, 7, start),
+            now: 1000.0,
+            weights: BTreeMap::new(),
+            held: BTreeSet::new(),
+            binds: BTreeMap::new(),
+            admitted: Vec::new(),
+            marks: Vec::new(),
+            messages: Vec::new(),
+        }
+    }
+
+    /// `workers` warm workers, listed from the start, and `proxies` that have joined and answered.
+    pub fn running(start: Start, workers: u32, proxies: u16) -> Self {
+        let mut host = Host::with(start);
+        let ready = (0..workers).map(|worker| listed(worker, Phase::Ready)).collect();
+        host.turn(&[list(ListKind::Remembered, ready)]);
+        host.after(10.0, &(0..proxies).map(joined).collect::<Vec<_>>());
+        host.answer(proxies);
+        host
+    }
+
+    pub fn turn(&mut self, events: &[Event]) -> Vec<Order> {
+        let orders = self.brain.turn(self.now, events);
+        for order in &orders {
+            match order {
+                Order::SetLine { table, worker, weight } if *weight == 0.0 => {
+                    self.weights.remove(&(*table, *worker));
+                }
+                Order::SetLine { table, worker, weight } => {
+                    assert!(weight.is_finite() && *weight > 0.0, "weight {weight}");
+                    self.weights.insert((*table, *worker), *weight);
+                }
+                Order::HoldBack { worker, out: true } => {
+                    self.held.insert(*worker);
+                }
+                Order::HoldBack { worker, out: false } => {
+                    self.held.remove(worker);
+                }
+                Order::Bind { table, proxy, .. } => self.binds.entry(*proxy).or_default().push(*table),
+                Order::Admit { level, retry, .. } => self.admitted.push((*level, *retry)),
+                Order::Mark { number, .. } => {
+                    self.marks.push(*number);
+                    self.messages.push(self.now);
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+
+    pub fn after(&mut self, wait: Ms, events: &[Event]) -> Vec<Order> {
+        self.now += wait;
+        self.turn(events)
+    }
+
+    /// The first `proxies` proxies answer the last mark.
+    pub fn answer(&mut self, proxies: u16) -> Vec<Order> {
+        let Some(&mark) = self.marks.last() else { return Vec::new() };
+        let answer = |proxy| Event::Answered { mark, took: 100.0, proxy: ProxyId(proxy) };
+        self.after(100.0, &(0..proxies).map(answer).collect::<Vec<_>>())
+    }
+
+    /// Lets time pass, with the same events each second and every mark answered.
+    pub fn seconds(&mut self, seconds: u32, proxies: u16, events: &[Event]) {
+        for _ in 0..seconds {
+            self.after(500.0, events);
+            self.answer(proxies);
+            self.after(400.0, &[]);
+        }
+    }
+
+    pub fn weight(&self, worker: u32) -> f64 {
+        self.weights.get(&(T, WorkerId(worker))).copied().unwrap_or(0.0)
+    }
+
+    pub fn holds(&self, worker: u32) -> bool {
+        self.held.contains(&WorkerId(worker))
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,387 @@
+//! What the module must hold against, one story for each failure met.
+
+mod host;
+
+use host::*;
+use juniperrail_interface::*;
+
+fn lines(orders: &[Order]) -> usize {
+    orders.iter().filter(|order| matches!(order, Order::SetLine { .. })).count()
+}
+
+fn restarted(worker: u32, at: Ms) -> Listed {
+    Listed { booted: Some(at), ..listed(worker, Phase::Ready) }
+}
+
+fn heavier(worker: u32, weight: f64) -> Event {
+    change(vec![Listed { weight, ..listed(worker, Phase::Ready) }])
+}
+
+#[test]
+fn the_later_write_wins_and_only_changes_are_sent() {
+    let mut host = Host::running(start(), 4, 2);
+    assert_eq!(lines(&host.after(600.0, &[heavier(1, 2.0)])), 1);
+    let orders = host.after(100.0, &[heavier(1, 3.0), heavier(1, 5.0)]);
+    assert_eq!(lines(&orders), 0, "changes are batched");
+    assert_eq!(lines(&host.after(600.0, &[])), 1);
+    assert_eq!(host.weight(1), 5.0);
+    host.answer(2);
+    assert_eq!(lines(&host.after(600.0, &[])), 0);
+}
+
+#[test]
+fn a_value_already_on_its_way_is_not_written_again() {
+    let mut host = Host::running(start(), 4, 2);
+    host.after(600.0, &[heavier(1, 2.0)]);
+    host.after(50.0, &[heavier(1, 3.0)]);
+    host.after(50.0, &[heavier(1, 2.0)]);
+    assert_eq!(lines(&host.after(600.0, &[])), 0);
+}
+
+#[test]
+fn a_delete_beats_a_write_that_waits() {
+    let mut host = Host::running(start(), 4, 2);
+    host.after(600.0, &[heavier(0, 2.0)]);
+    host.after(50.0, &[heavier(1, 9.0)]);
+    host.after(50.0, &[change(vec![listed(1, Phase::Gone)])]);
+    host.answer(2);
+    host.after(600.0, &[]);
+    assert_eq!(host.weight(1), 0.0);
+    assert!(host.holds(1));
+}
+
+#[test]
+fn the_largest_change_goes_first_where_room_is_short() {
+    let small = Start { lines_waiting_most: 30.0, ..start() };
+    let mut host = Host::running(small, 4, 1);
+    let both = change(vec![
+        Listed { weight: 1.5, ..listed(0, Phase::Ready) },
+        Listed { weight: 9.0, ..listed(3, Phase::Ready) },
+    ]);
+    let orders = host.after(2000.0, &[both]);
+    let first = orders.iter().find_map(|order| match order {
+        Order::SetLine { worker, .. } => Some(*worker),
+        _ => None,
+    });
+    assert_eq!(first, Some(WorkerId(3)));
+}
+
+#[test]
+fn a_drained_worker_is_held_at_once_and_its_line_removed_behind_the_hold() {
+    let mut host = Host::running(start(), 4, 2);
+    let orders = host.after(50.0, &[change(vec![listed(2, Phase::Draining)])]);
+    assert!(host.holds(2));
+    assert_eq!(lines(&orders), 0);
+    host.answer(1);
+    host.after(600.0, &[]);
+    assert_eq!(host.weight(2), 1.0, "one proxy has not answered");
+    let mark = *host.marks.last().unwrap();
+    host.after(600.0, &[Event::Answered { mark, took: 1.0, proxy: ProxyId(1) }]);
+    assert_eq!(host.weight(2), 0.0);
+}
+
+#[test]
+fn the_last_sound_line_waits_for_its_replacement_but_not_past_the_grace() {
+    for answered in [true, false] {
+        let mut host = Host::running(start(), 1, 2);
+        let swap = change(vec![listed(0, Phase::Draining), listed(1, Phase::Ready)]);
+        host.after(600.0, &[swap]);
+        assert_eq!(host.weight(1), 1.0);
+        assert!(!host.holds(0), "the replacement is not in force yet");
+        if answered {
+            host.answer(2);
+            assert!(host.holds(0));
+        } else {
+            host.after(0.3 * 3000.0, &[]);
+            assert!(!host.holds(0));
+            host.after(0.3 * 3000.0, &[]);
+            assert!(host.holds(0), "missing answers must not block a drain");
+        }
+    }
+}
+
+#[test]
+fn orders_that_turn_round_while_pending_leave_no_deadlock() {
+    let mut host = Host::running(start(), 2, 2);
+    host.after(600.0, &[change(vec![listed(0, Phase::Draining)])]);
+    assert!(host.holds(0));
+    // It comes back, restarted, before anyone answered: the line now goes before the hold is lifted.
+    let now = host.now;
+    let orders = host.after(600.0, &[change(vec![restarted(0, now)])]);
+    assert_eq!(lines(&orders), 1);
+    assert!(host.holds(0), "lifted before the easing line is in force");
+    host.seconds(2, 2, &[]);
+    assert!(!host.holds(0));
+    // And again the other way about, with the pairs of both updates pending.
+    host.after(50.0, &[change(vec![listed(0, Phase::Draining), listed(1, Phase::Draining)])]);
+    host.after(50.0, &[change(vec![restarted(1, now), listed(0, Phase::Gone)])]);
+    host.seconds(4, 2, &[]);
+    assert!(host.holds(0) && !host.holds(1));
+    assert!(host.weight(0) == 0.0 && host.weight(1) > 0.0);
+}
+
+#[test]
+fn a_broken_stream_is_made_good_by_the_next_bind() {
+    let mut host = Host::running(start(), 4, 2);
+    host.after(600.0, &[heavier(1, 2.0)]);
+    host.after(50.0, &[Event::Left { proxy: ProxyId(1) }]);
+    let orders = host.after(600.0, &[joined(1)]);
+    assert_eq!(host.binds[&ProxyId(1)].len(), 2);
+    assert_eq!(lines(&orders), 0, "nobody is sent again what stands");
+    host.after(50.0, &[Event::Left { proxy: ProxyId(0) }, Event::Left { proxy: ProxyId(1) }]);
+    host.after(600.0, &[joined(0)]);
+    assert_eq!(host.weight(1), 2.0);
+    assert_eq!(host.binds[&ProxyId(0)].len(), 2);
+}
+
+#[test]
+fn what_waits_stays_under_half_the_backlog_until_an_answer_proves_more_room() {
+    let tight = Start { lines_waiting_most: 100.0, channel_rate: 1.0, ..start() };
+    let mut host = Host::with(tight);
+    host.turn(&[list(ListKind::Remembered, (0..10).map(|worker| listed(worker, Phase::Ready)).collect())]);
+    host.after(10.0, &(0..8).map(joined).collect::<Vec<_>>());
+    let bound = host.binds.len();
+    assert!((1..=2).contains(&bound), "18 lines each: {bound} bound");
+    host.after(400.0, &[]);
+    assert_eq!(host.binds.len(), bound, "no answer, no room");
+    for _ in 0..8 {
+        let mark = *host.marks.last().unwrap();
+        let answer = |proxy: &ProxyId| Event::Answered { mark, took: 1.0, proxy: *proxy };
+        let answers: Vec<Event> = host.binds.keys().map(answer).collect();
+        host.after(100.0, &answers);
+    }
+    assert_eq!(host.binds.len(), 8);
+}
+
+#[test]
+fn no_proxy_is_written_more_messages_than_allowed_and_drains_find_room() {
+    let few = Start { messages_most: 8, ..start() };
+    let mut host = Host::running(few, 6, 2);
+    for step in 0..150 {
+        host.after(200.0, &[heavier(1, 1.0 + f64::from(step))]);
+        host.answer(2);
+        if step == 140 {
+            host.after(10.0, &[change(vec![listed(0, Phase::Draining)])]);
+            assert!(host.holds(0), "ordinary changes had used up all messages");
+        }
+    }
+    let since = |from: &Ms| host.messages.iter().filter(|at| (*from..from + 10_000.0).contains(at)).count();
+    assert!(host.messages.iter().map(since).max() <= Some(8));
+}
+
+#[test]
+fn a_cold_worker_enters_by_steps_from_the_cold_share() {
+    let mut host = Host::running(start(), 8, 2);
+    let booted = host.now;
+    host.after(600.0, &[change(vec![restarted(3, booted)])]);
+    let mut weights = vec![host.weight(3)];
+    for _ in 0..20 {
+        host.seconds(1, 2, &[]);
+        weights.push(host.weight(3));
+    }
+    assert!(weights[0] > 0.0 && weights[0] <= 0.25);
+    assert!(weights.windows(2).all(|pair| pair[0] <= pair[1]));
+    assert_eq!(weights[20], 1.0);
+    weights.dedup();
+    assert!(weights.len() <= 5, "few steps: {weights:?}");
+}
+
+#[test]
+fn the_cold_are_spared_what_the_sick_cannot_take() {
+    let entry = |gone: u32| {
+        let tender = Start { overload_factor: 2.5, ..start() };
+        let mut host = Host::running(tender, 8, 2);
+        let mut news: Vec<Listed> = (0..gone).map(|worker| listed(worker, Phase::Gone)).collect();
+        news.push(restarted(7, host.now));
+        host.after(600.0, &[change(news)]);
+        host.seconds(1, 2, &[]);
+        host.weight(7)
+    };
+    assert!(entry(5) < entry(1));
+}
+
+#[test]
+fn an_operation_open_to_some_workers_has_a_table_of_its_own() {
+    let mut some = start();
+    some.operations[1].zones = Some(vec![ZoneId(1)]);
+    let mut host = Host::running(some, 4, 2);
+    assert_eq!(host.binds[&ProxyId(0)], vec![T, TableId(1)]);
+    let of_second: Vec<u32> =
+        host.weights.keys().filter(|(table, _)| *table != T).map(|(_, worker)| worker.0).collect();
+    assert_eq!(of_second, vec![1, 3]);
+    let gone = vec![listed(1, Phase::Gone), listed(3, Phase::Gone)];
+    host.after(600.0, &[change(gone), joined(2)]);
+    host.seconds(3, 3, &[]);
+    let bound = &host.binds[&ProxyId(2)];
+    assert!(bound.contains(&T));
+}
+
+#[test]
+fn a_proxy_is_never_bound_to_a_table_with_nothing_to_pick() {
+    let mut host = Host::with(start());
+    host.turn(&[joined(0)]);
+    assert!(host.binds.is_empty());
+    host.after(100.0, &[list(ListKind::Full, vec![listed(0, Phase::Ready)])]);
+    host.after(100.0, &[]);
+    assert_eq!(host.binds.len(), 1);
+}
+
+#[test]
+fn a_sick_worker_loses_weight_and_gets_it_back() {
+    let mut host = Host::running(start(), 8, 2);
+    let mut met: Vec<Event> = (1..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    met.push(sums(0, 10.0, 10.0, 0.0));
+    host.seconds(12, 2, &met);
+    assert!(host.weight(0) < 0.2, "{}", host.weight(0));
+    assert!(!host.holds(0), "a small part stays as its trial");
+    assert!(host.weight(5) >= 1.0);
+    let met: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    let low = host.weight(0);
+    host.seconds(12, 2, &met);
+    let met: Vec<Event> = (0..8).map(|w| sums(w, 10.0, 0.0, if w == 0 { 60.0 } else { 100.0 })).collect();
+    host.seconds(40, 2, &met);
+    assert!(host.weight(0) > 2.0 * low);
+}
+
+#[test]
+fn fleet_wide_badness_and_missing_reports_take_nobody_out() {
+    let mut host = Host::running(start(), 8, 2);
+    let met: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 8.0, 400.0)).collect();
+    host.seconds(10, 2, &met);
+    assert!((0..8).all(|worker| host.weight(worker) == 1.0));
+    let mut host = Host::running(start(), 8, 2);
+    let met: Vec<Event> = (1..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    host.seconds(10, 2, &met);
+    assert_eq!(host.weight(0), 1.0, "silence is no evidence");
+}
+
+#[test]
+fn only_a_part_of_the_fleet_may_fall_low() {
+    let mut host = Host::running(start(), 10, 2);
+    let bad =
+        |worker: u32| if worker < 5 { sums(worker, 10.0, 10.0, 0.0) } else { sums(worker, 20.0, 0.0, 50.0) };
+    let met: Vec<Event> = (0..10).map(bad).collect();
+    host.seconds(20, 2, &met);
+    let low = (0..10).filter(|worker| host.weight(*worker) < 0.5).count();
+    assert!((1..=3).contains(&low), "{low} of 10");
+}
+
+#[test]
+fn overload_lets_less_in_without_further_tries_until_calm() {
+    let mut host = Host::running(start(), 8, 2);
+    assert!(host.admitted.iter().all(|admitted| *admitted == (1.0, Retry::IfUnrun)));
+    let strained: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 5.0, 800.0)).collect();
+    host.seconds(8, 2, &strained);
+    let (level, retry) = *host.admitted.last().unwrap();
+    assert!(level < 0.8 && level > 0.0 && retry == Retry::Never);
+    let calm: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    host.seconds(60, 2, &calm);
+    assert_eq!(*host.admitted.last().unwrap(), (1.0, Retry::IfUnrun));
+}
+
+#[test]
+fn one_crowded_worker_is_no_overload() {
+    let mut host = Host::running(start(), 8, 2);
+    let mut met: Vec<Event> = (1..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    met.push(sums(0, 30.0, 30.0, 0.0));
+    host.seconds(10, 2, &met);
+    assert!(host.admitted.iter().all(|admitted| admitted.0 == 1.0));
+}
+
+#[test]
+fn a_rate_lets_the_same_part_in_at_uneven_proxies() {
+    let mut host = Host::running(Start { level_kind: LevelKind::PerSecond, ..start() }, 8, 2);
+    let came = |proxy: u16, invs: f64| Event::ProxySums {
+        proxy: ProxyId(proxy),
+        op: OpId(0),
+        invs,
+        unanswered: 0.0,
+        over: 1000.0,
+    };
+    let mut strained: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 5.0, 800.0)).collect();
+    strained.extend([came(0, 5.0), came(1, 95.0)]);
+    host.seconds(3, 2, &strained);
+    let level = host.admitted.iter().map(|admitted| admitted.0).find(|level| *level < 1000.0);
+    let level = level.expect("a level for the first operation");
+    assert!(
+        host.admitted.iter().all(|admitted| admitted.0 >= 60.0),
+        "the other was not seen to be asked for"
+    );
+    assert!((60.0..80.0).contains(&level), "the small proxy keeps all of its own: {level}");
+}
+
+#[test]
+fn nothing_side_effecting_or_fingerprinted_is_repeated_without_proof() {
+    let mut careful = start();
+    let (group, window) = (Group::Cell, 2000.0);
+    careful.operations.push(operation(Repeat::Fingerprinted { group, window }));
+    let mut host = Host::running(careful, 6, 2);
+    let met: Vec<Event> = (0..6).map(|worker| sums(worker, 10.0, f64::from(worker), 300.0)).collect();
+    host.seconds(20, 2, &met);
+    let safe = |retry: &Retry| matches!(retry, Retry::Never | Retry::IfUnrun);
+    assert!(!host.admitted.is_empty() && host.admitted.iter().all(|(_, retry)| safe(retry)));
+}
+
+#[test]
+fn a_worker_missing_from_a_full_list_is_gone_and_a_failed_call_is_made_again() {
+    let mut host = Host::running(Start { list_asked: true, ..start() }, 3, 1);
+    host.after(100.0, &[list(ListKind::Full, vec![listed(0, Phase::Ready), listed(1, Phase::Ready)])]);
+    assert!(host.holds(2));
+    host.after(100.0, &[list(ListKind::Failed, Vec::new())]);
+    assert!(!host.holds(0) && !host.holds(1), "the old list still holds");
+    let orders = host.after(5000.0, &[]);
+    assert!(orders.contains(&Order::FollowList(true)));
+}
+
+#[test]
+fn a_restarted_manager_binds_everyone_again() {
+    let mut host = Host::running(start(), 4, 3);
+    let seen = host.binds.len();
+    host.brain = juniperrail::Brain::new(host.now, 8, start());
+    host.binds.clear();
+    host.turn(&[list(ListKind::Remembered, (0..4).map(|worker| listed(worker, Phase::Ready)).collect())]);
+    host.after(50.0, &(0..3).map(joined).collect::<Vec<_>>());
+    assert_eq!((seen, host.binds.len()), (3, 3));
+}
+
+#[test]
+fn mark_numbers_wrap() {
+    let mut host = Host::running(start(), 2, 1);
+    for step in 0..70_000 {
+        host.after(500.0, &[heavier(0, 1.0 + f64::from(step % 2))]);
+        host.answer(1);
+    }
+    host.after(600.0, &[change(vec![listed(1, Phase::Draining)])]);
+    host.answer(1);
+    host.after(600.0, &[]);
+    assert_eq!(host.weight(1), 0.0, "the hold's answer was not understood");
+}
+
+#[test]
+fn settings_of_zero_are_no_room_and_no_trouble() {
+    let nothing = Start {
+        channel_rate: 0.0,
+        lines_waiting_most: 0.0,
+        report_period: 0.0,
+        warm_up: 0.0,
+        cold_share: 0.0,
+        overload_factor: 0.0,
+        drain_grace: 0.0,
+        messages_most: 1,
+        messages_over: 0.0,
+        ..start()
+    };
+    let mut host = Host::running(nothing, 3, 2);
+    host.after(100.0, &[change(vec![listed(0, Phase::Draining), restarted(1, 0.0)]), sums(1, 0.0, 0.0, 0.0)]);
+    host.seconds(3, 2, &[sums(1, 9.0, 9.0, 0.0), sums(2, 9.0, 0.0, 0.0)]);
+    assert!(host.marks.is_empty(), "a backlog of nothing holds no lines");
+}
+
+#[test]
+fn slices_are_never_bound() {
+    let mut host = Host::running(Start { slices: 64, ..start() }, 4, 2);
+    let slice = TableId(3);
+    host.after(100.0, &[Event::SliceGiven { slice }, change(vec![listed(0, Phase::Draining)])]);
+    host.seconds(2, 2, &[]);
+    assert!(host.binds.is_empty() && host.weights.is_empty() && host.holds(0));
+}
