--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,11 +35,12 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
 const LOW_MOST: f64 = 0.35;
-/// Parts of tries gone bad, and means in latency objectives, that show overload and calm; the steps of the
-/// part let in and its least.
-const OVERLOADED: (f64, f64) = (0.2, 0.8);
-const CALM: (f64, f64) = (0.06, 0.45);
-const SHED: (f64, f64, f64) = (0.75, 1.1, 0.3);
+/// The mean answer, in latency objectives, that the part let in is steered to; bounds of a step, of those too
+/// small to take, and of the part itself.
+const UNHURRIED: f64 = 0.4;
+const SHED: (f64, f64) = (0.65, 1.25);
+const SHED_IDLE: (f64, f64) = (0.85, 1.1);
+const LEAST_IN: f64 = 0.25;
 /// Levels differ by this multiple, so that small changes of the demand are not written.
 const LEVELS: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
@@ -369,7 +370,7 @@
     /// One worker's trouble is no overload: the middle worker decides.
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.settled());
-        if now < self.let_in_at + settled + self.start.report_period {
+        if now < self.let_in_at + settled {
             return;
         }
         let since = (self.let_in_at + settled).max(now - settled);
@@ -384,10 +385,9 @@
         let late =
             middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect()) / objective;
         let before = self.let_in;
-        if lost > OVERLOADED.0 || late > OVERLOADED.1 {
-            self.let_in = (before * SHED.0).max(SHED.2);
-        } else if lost < CALM.0 && late < CALM.1 {
-            self.let_in = (before * SHED.1).min(1.0);
+        let step = (UNHURRIED / late.max(0.01)).sqrt().min(1.25 * (1.0 - lost)).clamp(SHED.0, SHED.1);
+        if step < SHED_IDLE.0 || step > SHED_IDLE.1 {
+            self.let_in = (before * step).clamp(LEAST_IN, 1.0);
         }
         if self.let_in != before {
             self.let_in_at = now;
