--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,13 +35,11 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
 const LOW_MOST: f64 = 0.35;
-/// The most that an unhurried answer takes of its latency objective; the part of the rest that may be spent
-/// waiting before less is let in; bounds of a step, of those too small to take, and of the part let in.
-const QUICK: f64 = 0.25;
-const WAIT: f64 = 0.2;
+/// The mean answer, in latency objectives, that the part let in is steered to; bounds of a step, of those too
+/// small to take, and of the part itself.
+const UNHURRIED: f64 = 0.4;
 const SHED: (f64, f64) = (0.65, 1.25);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
-const ENTRY: f64 = 0.75;
 const LEAST_IN: f64 = 0.25;
 /// Levels differ by this multiple, so that small changes of the demand are not written.
 const LEVELS: f64 = 1.1;
@@ -144,8 +142,6 @@
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
     let_in_at: Ms,
-    /// The quickest mean answer seen, as a part of the latency objective: the rest is waiting.
-    unhurried: f64,
     wake: bool,
     ask_at: Option<Ms>,
     orders: Vec<Order>,
@@ -170,7 +166,6 @@
             changed: f64::NEG_INFINITY,
             let_in: 1.0,
             let_in_at: now,
-            unhurried: QUICK,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             orders: Vec::new(),
@@ -389,11 +384,9 @@
         let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
         let late =
             middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect()) / objective;
-        self.unhurried = self.unhurried.min(late);
-        let wait = (late - self.unhurried) / (1.0 - self.unhurried);
         let before = self.let_in;
-        let step = (WAIT / wait.max(0.01)).sqrt().min(1.25 * (1.0 - lost)).clamp(SHED.0, SHED.1);
-        if step < if before < 1.0 { SHED_IDLE.0 } else { ENTRY } || step > SHED_IDLE.1 {
+        let step = (UNHURRIED / late.max(0.01)).sqrt().min(1.25 * (1.0 - lost)).clamp(SHED.0, SHED.1);
+        if step < SHED_IDLE.0 || step > SHED_IDLE.1 {
             self.let_in = (before * step).clamp(LEAST_IN, 1.0);
         }
         if self.let_in != before {
