--- a/src/brain.rs
+++ b/src/brain.rs
@@ -399,8 +399,12 @@
 
     /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
     fn level(&self, table: &Table, op: OpId) -> f64 {
+        // What bills more is shed less; the part let in is steered by what that makes of the answers.
+        let values = self.start.operations.iter().map(|op| op.billed_value);
+        let value = self.start.operations[op.0 as usize].billed_value.max(1e-9);
+        let part = self.let_in.powf(mean(values).unwrap_or(1.0) / value);
         match self.start.level_kind {
-            LevelKind::Share => return self.let_in,
+            LevelKind::Share => return part,
             _ if self.let_in >= 1.0 => return NO_LIMIT,
             _ => {}
         }
@@ -414,7 +418,7 @@
             .map(|proxy| mean(proxy.demand.get(&op).into_iter().flatten().copied()).unwrap_or(0.0))
             .collect();
         rates.sort_by(f64::total_cmp);
-        let mut left = rates.iter().sum::<f64>() * self.let_in;
+        let mut left = rates.iter().sum::<f64>() * part;
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
             if *rate >= each && each > 0.0 {
