--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -61,15 +61,16 @@
 }
 
 /// What a level counts, if the deployment heeds levels at all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LevelKind {
     Share,
     PerSecond,
+    #[default]
     Unheeded,
 }
 
 /// The figures a manager is handed at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Start {
     pub operations: Vec<Operation>,
     pub zones: Vec<ZoneId>,
