--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,9 +25,8 @@
 /// Reports kept of each worker, and tries that are evidence enough to weigh it.
 const SAMPLES: usize = 12;
 const ENOUGH: f64 = 4.0;
-/// Reports kept of what came to each proxy.
+/// Reports kept of what came to each proxy; steps in which a line leans away from a worker.
 const RATES: usize = 3;
-/// Steps in which a line leans away from a worker.
 const LEANS: f64 = 8.0;
 /// A worker's weight follows the ratio of its cost to its peers' by this power, outside a deadband.
 const GAIN: f64 = 0.6;
