Keep cold workers out while the fleet is strained; judge strain by busyness too

Cause: past capacity, proxies that keep away from all who failed them have only the newcomer left, whatever its weight. Told from a wrong ramp by its weight, which was 0.38 of one worker's. Also, workers long gone counted as fleet, so the cold were spared too much in every deploy. It should hold too against retry storms and mass hangs while anyone is cold; it may hurt when a strained fleet badly needs a half-warm worker.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,9 +1,8 @@
 //! All decisions of a juniperrail manager.
 //!
 //! A host makes one [`Brain`] for each manager at its start and then calls [`Brain::turn`] with what
-//! happened since the last call; the orders that come back take effect in the order written. The types
-//! of both stand in `crates/interface`. A brain reads no clock and no input of its own: the same events
-//! give the same orders.
+//! happened since the last call; the orders that come back take effect in the order written. The types of
+//! both stand in `crates/interface`. It reads no clock and no other input: same events, same orders.
 //!
 //! The ordinary path follows `docs/design.md`: wanted values are composed line by line (`want`),
 //! ordered by pairs (`before`), sent within half the backlog (`send`) and settled by answered marks.
@@ -12,8 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Part of the lines that may wait which is topped up in a turn, and part that overdue drains may use.
-const TOPPED: f64 = 0.5;
-const TOPPED_OVERDUE: f64 = 0.8;
+const TOPPED: (f64, f64) = (0.5, 0.8);
 /// The channel is taken to send at this part of its rate until an answer proves otherwise.
 const SLOWEST: f64 = 0.1;
 /// Part of the messages to a proxy that ordinary changes may use; the rest is kept for drains.
@@ -28,7 +26,7 @@
 /// Reports kept of what came to each proxy; steps in which a line leans away from a worker.
 const RATES: usize = 3;
 const LEANS: f64 = 8.0;
-/// A worker's weight follows the ratio of its cost to its peers' by this power, outside a deadband.
+/// A weight follows the ratio of its worker's cost to its peers' by this power, outside a deadband, in bounds.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
@@ -39,10 +37,11 @@
 /// The mean answer, in latency objectives, that the part let in is steered to; bounds of a step, of those too
 /// small to take, and of the part itself.
 const UNHURRIED: f64 = 0.4;
+const FULL: f64 = 0.85;
 const SHED: (f64, f64) = (0.65, 1.25);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const LEAST_IN: f64 = 0.25;
-/// Levels differ by this multiple, so that small changes of the demand are not written.
+/// Levels differ by this multiple, so that small changes of the demand are not written; and none at all.
 const LEVELS: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -143,6 +142,7 @@
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
     let_in_at: Ms,
+    strained: bool,
     wake: bool,
     ask_at: Option<Ms>,
     orders: Vec<Order>,
@@ -357,33 +357,33 @@
         }
     }
 
-    /// Lets less in while most workers lose tries or answer too late, and more again once that is over.
-    /// One worker's trouble is no overload: the middle worker decides.
-    fn ration(&mut self) {
-        let (now, settled) = (self.now, self.settled());
-        if now < self.let_in_at + settled {
-            return;
-        }
-        let since = (self.let_in_at + settled).max(now - settled);
+    /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
+    /// middle worker's lost tries and mean answer tell, as one worker's trouble is no overload, and how busy
+    /// all are on average, which tells before either.
+    fn bears(&self, since: Ms) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
         if (met.len() as f64) < ENOUGH {
-            return;
+            return None;
         }
-        let objective =
-            self.start.operations.iter().map(|op| op.latency_objective).fold(f64::INFINITY, f64::min);
+        let objectives = self.start.operations.iter().map(|op| op.latency_objective);
+        let took = middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect());
         let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
-        let late =
-            middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect()) / objective;
-        let before = self.let_in;
-        let step = (UNHURRIED / late.max(0.01)).sqrt().min(1.25 * (1.0 - lost)).clamp(SHED.0, SHED.1);
-        if step < SHED_IDLE.0 || step > SHED_IDLE.1 {
-            self.let_in = (before * step).clamp(LEAST_IN, 1.0);
-        }
-        if self.let_in != before {
-            self.let_in_at = now;
-            let text =
-                format!("letting in {:.2}: {lost:.2} of tries bad, {late:.2} objectives taken", self.let_in);
+        let late = (UNHURRIED * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
+        let full = FULL / mean(met.iter().filter_map(|met| met.busy)).unwrap_or(0.0).max(0.1);
+        Some(late.min(SHED.1 * (1.0 - lost)).min(full * full).clamp(SHED.0, SHED.1))
+    }
+
+    /// Lets less in while the fleet bears less, and more again once that is over.
+    fn ration(&mut self) {
+        let (now, settled) = (self.now, self.settled());
+        let Some(bears) = self.bears(now - settled) else { return };
+        self.strained = bears < if self.strained { 1.0 } else { SHED_IDLE.0 };
+        let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
+        let next = (self.let_in * step).clamp(LEAST_IN, 1.0);
+        if next != self.let_in && (step < SHED_IDLE.0 || step > SHED_IDLE.1) {
+            (self.let_in, self.let_in_at) = (next, now);
+            let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
             self.orders.push(Order::Log { about: None, text });
         }
     }
@@ -438,11 +438,16 @@
         tables.sort_by_key(|table| self.workers.values().filter(|w| table.open(&w.listed)).count());
         for table in tables {
             let open = || self.workers.values().filter(|worker| table.open(&worker.listed));
-            let all: f64 = open().map(|worker| self.weight(&worker.listed)).sum();
+            let here = open().filter(|worker| worker.listed.phase != Phase::Gone);
+            let all: f64 = here.map(|worker| self.weight(&worker.listed)).sum();
             let usable = open().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-            // What others cannot take moves onto the cold: they get less of it than their part.
+            let warm: f64 = open().filter(|w| self.warmth(&w.listed) >= 1.0).map(|w| self.usable(w)).sum();
+            // What others cannot take moves onto the cold, so they get less of it than their part; and none
+            // while the fleet is strained and mostly warm: guards against proxies that keep away from all
+            // others, or try again and again, and so push over whoever has just come.
             let multiple = self.start.overload_factor;
             let spared = (multiple / 3.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
+            let spared = if self.strained && 2.0 * warm > all { 0.0 } else { spared };
             // An operation open to all leans away from the workers that narrower ones already load.
             let ops = || (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1);
             let demand: f64 = self.proxies.values().flat_map(|p| ops().map(|op| self.demand(p, op))).sum();
@@ -541,10 +546,7 @@
             if pair.1 == to {
                 return Some(vec![*pair]);
             }
-            if seen.contains(&pair.1) {
-                return None;
-            }
-            seen.push(pair.1);
+            (!seen.contains(&pair.1)).then(|| seen.push(pair.1))?;
             let mut path = self.path(pair.1, to, seen)?;
             path.push(*pair);
             Some(path)
@@ -571,7 +573,7 @@
         let (now, most) = (self.now, self.start.lines_waiting_most);
         let waiting = self.waiting();
         let each = self.start.message_overhead + 2.0;
-        let reserve = (self.proxies.len() as f64 * each).min(most * TOPPED / 4.0);
+        let reserve = (self.proxies.len() as f64 * each).min(most * TOPPED.0 / 4.0);
         let gap = match self.start.messages_most {
             0 => self.start.report_period / 2.0,
             most => self.start.messages_over / (most as f64 * ORDINARY_MESSAGES),
@@ -583,7 +585,7 @@
             if let (Key::Hold(id), true) = (key, entry.wanted.0 > 0.0) {
                 let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
                 if ready || overdue {
-                    drains.push((if overdue { TOPPED_OVERDUE } else { TOPPED }, *key));
+                    drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
             } else if ready && due {
                 changes.push((-(entry.wanted.0 - entry.sent.0).abs(), *key));
@@ -592,7 +594,7 @@
         for (part, key) in drains {
             self.add(key, most * part - waiting, 1.0);
         }
-        let room = most * TOPPED - reserve - waiting;
+        let room = most * TOPPED.0 - reserve - waiting;
         let mut unbound: Vec<(f64, ProxyId)> =
             self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
@@ -680,11 +682,10 @@
 
 /// The proxies that a change of this line is written to.
 fn reach(tables: &[Table], proxies: &BTreeMap<ProxyId, Proxy>, key: Key) -> Vec<ProxyId> {
+    let own = |id: TableId| tables[id.0 as usize].own;
     let reads = |proxy: &Proxy| match key {
         Key::Hold(_) => true,
-        Key::Line(id, _) | Key::Level(id, _) => {
-            proxy.bound && tables[id.0 as usize].own.is_none_or(|own| own == proxy.zone)
-        }
+        Key::Line(id, _) | Key::Level(id, _) => proxy.bound && own(id).is_none_or(|own| own == proxy.zone),
     };
     proxies.iter().filter(|(_, proxy)| reads(proxy)).map(|(id, _)| *id).collect()
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -392,3 +392,17 @@
     assert!(host.weight(1) <= 0.5 * host.weight(0), "{} {}", host.weight(1), host.weight(0));
     assert_eq!(host.weights[&(TableId(1), WorkerId(1))], 1.0);
 }
+
+#[test]
+fn a_cold_worker_stays_out_while_the_others_are_strained() {
+    let mut host = Host::running(start(), 8, 2);
+    let strained: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 5.0, 800.0)).collect();
+    host.seconds(3, 2, &strained);
+    let restart = host.now;
+    host.after(100.0, &[change(vec![restarted(8, restart)])]);
+    host.seconds(2, 2, &strained);
+    assert_eq!(host.weight(8), 0.0);
+    let calm: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 0.0, 100.0)).collect();
+    host.seconds(6, 2, &calm);
+    assert!(host.weight(8) > 0.0);
+}
