Return quickly to near where the demand jammed, then by tenths; larger steps down

It may hurt when the capacity that was missing comes back at once: the last fifth is then given back by tenths.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,12 +34,13 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const HALF: f64 = 0.5;
 const LOW_MOST: f64 = 0.35;
-/// The mean answer, in latency objectives, that the part let in is steered to; bounds of a step, of those too
-/// small to take, and of the part itself.
+/// The mean answer, in latency objectives, and the busyness that the part let in is steered to; bounds of a
+/// step, of those too small to take, of the part itself, and of its quick return to where it last jammed.
 const UNHURRIED: f64 = 0.4;
 const FULL: f64 = 0.85;
-const SHED: (f64, f64) = (0.65, 1.25);
+const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
+const NEAR: f64 = 0.8;
 const LEAST_IN: f64 = 0.25;
 /// Levels differ by this multiple, so that small changes of the demand are not written; and none at all.
 const LEVELS: f64 = 1.1;
@@ -142,6 +143,7 @@
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
     let_in_at: Ms,
+    jammed_at: f64,
     strained: bool,
     wake: bool,
     ask_at: Option<Ms>,
@@ -158,6 +160,7 @@
             proven: now,
             changed: f64::NEG_INFINITY,
             let_in: 1.0,
+            jammed_at: 1.0,
             let_in_at: now,
             wake: true,
             ask_at: start.list_asked.then_some(now),
@@ -209,15 +212,17 @@
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
             Event::ProxySums { proxy, op, invs, over, .. } => {
                 if let Some(known) = self.proxies.get_mut(proxy) {
-                    let rate = invs * 1000.0 / over.max(1.0);
-                    keep(known.demand.entry(*op).or_default(), rate, RATES);
+                    let rates = known.demand.entry(*op).or_default();
+                    rates.push_front(invs * 1000.0 / over.max(1.0));
+                    rates.truncate(RATES);
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
                     let took = (tries - bad) * mean;
                     let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
-                    keep(&mut known.samples, sample, SAMPLES);
+                    known.samples.push_front(sample);
+                    known.samples.truncate(SAMPLES);
                 }
             }
             _ => {}
@@ -300,17 +305,13 @@
         }
     }
 
-    /// Time after which reports tell what an order did.
-    fn settled(&self) -> Ms {
-        self.start.report_period + self.start.transit_worst
-    }
-
     /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
     /// connections, slowness), or whose cores are busier, loses weight whatever the cause, and gets it back
     /// as the small part left to it goes well. Only peers compare, so fleet-wide badness takes nobody out;
     /// a report that does not come changes nothing.
     fn weigh(&mut self) {
-        let (now, settled) = (self.now, self.settled());
+        // Reports tell what an order did once they have settled.
+        let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
         let objectives = self.start.operations.iter().map(|op| op.latency_objective);
         let lost = 2.0 * objectives.fold(0.0, f64::max);
@@ -376,12 +377,16 @@
 
     /// Lets less in while the fleet bears less, and more again once that is over.
     fn ration(&mut self) {
-        let (now, settled) = (self.now, self.settled());
+        let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let Some(bears) = self.bears(now - settled) else { return };
         self.strained = bears < if self.strained { 1.0 } else { SHED_IDLE.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
-        let next = (self.let_in * step).clamp(LEAST_IN, 1.0);
-        if next != self.let_in && (step < SHED_IDLE.0 || step > SHED_IDLE.1) {
+        if step < SHED_IDLE.0 {
+            self.jammed_at = self.let_in;
+        }
+        let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
+        let next = (self.let_in * step).min(near).clamp(LEAST_IN, 1.0);
+        if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             (self.let_in, self.let_in_at) = (next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
             self.orders.push(Order::Log { about: None, text });
@@ -717,10 +722,3 @@
     values.sort_by(f64::total_cmp);
     values[values.len() / 2]
 }
-
-fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
-    samples.push_back(sample);
-    if samples.len() > most {
-        samples.pop_front();
-    }
-}
