--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 const LOW_MOST: f64 = 0.35;
 /// The mean answer, in latency objectives, and the busyness that the part let in is steered to; bounds of a
 /// step, of those too small to take, of the part itself, and of its quick return to where it last jammed.
-const UNHURRIED: f64 = 0.4;
+const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
@@ -370,9 +370,10 @@
         let objectives = self.start.operations.iter().map(|op| op.latency_objective);
         let took = middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect());
         let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
-        let late = (UNHURRIED * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
+        let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
+        let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let full = FULL / mean(met.iter().filter_map(|met| met.busy)).unwrap_or(0.0).max(0.1);
-        Some(late.min(SHED.1 * (1.0 - lost)).min(full * full).clamp(SHED.0, SHED.1))
+        Some(late.min(SHED_IDLE.1 * (1.0 - lost)).min(full * full).clamp(SHED.0, SHED.1))
     }
 
     /// Lets less in while the fleet bears less, and more again once that is over.
