--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -91,8 +91,6 @@
     pub warm_up: Ms,
     pub cold_share: f64,
     pub overload_factor: f64,
-    /// Workers tell their load only to a probe.
-    pub load_by_probe: bool,
     /// The list must be asked for.
     pub list_asked: bool,
     pub ask_within: Ms,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -102,7 +102,6 @@
         warm_up: number(&info, "rules.warm-up-ms")?,
         cold_share: number(&info, "rules.cold-share")?,
         overload_factor: number(&info, "rules.overload-factor")?,
-        load_by_probe: text(&info, "report.via")? == "probe" && at(&info, "allowed.probing") == true,
         list_asked: text(&info, "registry-mode")? == "ask",
         ask_within: number(&info, "rules.must-ask-in-ms")?,
     };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,6 @@
 const ENOUGH: f64 = 4.0;
 /// Reports kept of what came to each proxy; steps in which a line leans away from a worker.
 const RATES: usize = 3;
-const PROBES: f64 = 2.0;
 const LEANS: f64 = 8.0;
 /// A weight follows the ratio of its worker's cost to its peers' by this power, outside a deadband, in bounds.
 const GAIN: f64 = 0.6;
@@ -146,7 +145,6 @@
     let_in_at: Ms,
     jammed_at: f64,
     strained: bool,
-    probed: Ms,
     wake: bool,
     ask_at: Option<Ms>,
     orders: Vec<Order>,
@@ -162,7 +160,6 @@
             proven: now,
             changed: f64::NEG_INFINITY,
             let_in: 1.0,
-            probed: now,
             jammed_at: 1.0,
             let_in_at: now,
             wake: true,
@@ -184,11 +181,6 @@
         if self.ask_at.take_if(|at| now >= *at).is_some() {
             self.orders.push(Order::FollowList(true));
         }
-        if self.start.load_by_probe && now >= self.probed + PROBES * self.start.report_period {
-            self.probed = now;
-            let ready = self.workers.values().filter(|w| w.listed.phase == Phase::Ready);
-            self.orders.extend(ready.map(|w| Order::Probe { worker: w.listed.worker }));
-        }
         if std::mem::take(&mut self.wake) {
             let after = (self.start.report_period / 8.0).max(20.0);
             self.orders.push(Order::Wake { after, handle: "beat".into() });
@@ -216,18 +208,6 @@
                 let joined = Proxy { zone, inv_per_second, bound: false, answered, messages, demand };
                 self.proxies.insert(*proxy, joined);
             }
-            Event::Probed { worker, load, .. } => {
-                if let Some(known) = self.workers.get_mut(worker) {
-                    known.samples.push_front(Sample {
-                        at: self.now,
-                        tries: 0.0,
-                        bad: 0.0,
-                        took: 0.0,
-                        busy: load.busy,
-                    });
-                    known.samples.truncate(SAMPLES);
-                }
-            }
             Event::Left { proxy } => self.left(*proxy),
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
             Event::ProxySums { proxy, op, invs, over, .. } => {
@@ -384,9 +364,7 @@
     fn bears(&self, since: Ms) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
-        if (met.len() as f64) < ENOUGH {
-            return None;
-        }
+        (met.len() as f64 >= ENOUGH).then_some(())?;
         let objectives = self.start.operations.iter().map(|op| op.latency_objective);
         let took = middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect());
         let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -48,7 +48,6 @@
         warm_up: 16_000.0,
         cold_share: 0.25,
         overload_factor: 4.0,
-        load_by_probe: false,
         list_asked: false,
         ask_within: 10_000.0,
     }
