Remember jams less deeply when cuts follow each other; uncap the quick return

Cause: each cut of one jam moved the remembered level down, and the term for lost tries capped every rise at a tenth.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,7 @@
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
+const JAM: f64 = 0.85;
 const LEAST_IN: f64 = 0.25;
 /// Levels differ by this multiple, so that small changes of the demand are not written; and none at all.
 const LEVELS: f64 = 1.1;
@@ -371,7 +372,7 @@
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let full = FULL / mean(met.iter().filter_map(|met| met.busy)).unwrap_or(0.0).max(0.1);
-        Some(late.min(SHED_IDLE.1 * (1.0 - lost)).min(full * full).clamp(SHED.0, SHED.1))
+        Some(late.min(SHED.1 * (1.0 - lost).powi(2)).min(full * full).clamp(SHED.0, SHED.1))
     }
 
     /// Lets less in while the fleet bears less, and more again once that is over.
@@ -381,7 +382,7 @@
         self.strained = bears < if self.strained { 1.0 } else { SHED_IDLE.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
         if step < SHED_IDLE.0 {
-            self.jammed_at = self.let_in;
+            self.jammed_at = self.let_in.max(JAM * self.jammed_at);
         }
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let next = (self.let_in * step).min(near).clamp(LEAST_IN, 1.0);
