Where crossing zones is dear, a table a zone toward its own workers

Each zone's proxies are led to their own workers as far as those have room, every worker still carrying its fair part of all. The other sites' orders are unchanged. It may hurt when a zone's demand turns within a report.

--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -79,6 +79,9 @@
     pub level_kind: LevelKind,
     /// After how many latency objectives a try that may be followed is given up.
     pub try_objectives: f64,
+    /// What crossing zones with each first try, and the whole pace of the channel, would cost.
+    pub crossing_price: f64,
+    pub channel_price: f64,
     pub channel_rate: f64,
     pub lines_waiting_most: f64,
     pub message_overhead: f64,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -91,6 +91,8 @@
             _ => LevelKind::Unheeded,
         },
         try_objectives: number(&info, "domain.try-aims")?,
+        crossing_price: number(&info, "charges.cross-zone")?,
+        channel_price: number(&info, "domain.cost-per-line")?,
         channel_rate: number(&info, "domain.channel-rate")?,
         lines_waiting_most: number(&info, "domain.pending-max")?,
         message_overhead: number(&info, "domain.overhead")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -112,15 +112,20 @@
     ops: u32,
     zones: Option<Vec<ZoneId>>,
     machines: Option<Vec<MachineId>>,
-    /// Only proxies and workers of this zone.
-    own: Option<ZoneId>,
+    /// Only proxies of this zone; and only its workers if no others may serve them.
+    near: Option<ZoneId>,
+    own: bool,
 }
 
 impl Table {
+    fn reads(&self, proxy: &Proxy) -> bool {
+        self.near.is_none_or(|near| near == proxy.zone)
+    }
+
     fn open(&self, worker: &Listed) -> bool {
         self.zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
             && self.machines.as_ref().is_none_or(|machines| machines.contains(&worker.machine))
-            && self.own.is_none_or(|own| own == worker.zone)
+            && (!self.own || self.near == Some(worker.zone))
     }
 }
 
@@ -408,8 +413,11 @@
         if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
             return part.max(if self.start.level_kind == LevelKind::Share { 0.0 } else { NO_LIMIT });
         }
-        let reads = |proxy: &&Proxy| table.own.is_none_or(|own| own == proxy.zone);
-        let rates = self.proxies.values().filter(reads).map(|proxy| self.demand(proxy, op.0 as usize));
+        let rates = self
+            .proxies
+            .values()
+            .filter(|proxy| table.reads(proxy))
+            .map(|proxy| self.demand(proxy, op.0 as usize));
         let mut rates: Vec<f64> = rates.collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * part;
@@ -440,9 +448,9 @@
         }
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_key(|table| self.workers.values().filter(|w| table.open(&w.listed)).count());
-        for table in tables {
-            let open = || self.workers.values().filter(|worker| table.open(&worker.listed));
+        tables.sort_by_key(|t| (self.workers.values().filter(|w| t.open(&w.listed)).count(), t.ops));
+        for group in tables.chunk_by(|a, b| a.ops == b.ops && !a.own) {
+            let open = || self.workers.values().filter(|worker| group[0].open(&worker.listed));
             let here = open().filter(|worker| worker.listed.phase != Phase::Gone);
             let all: f64 = here.map(|worker| self.weight(&worker.listed)).sum();
             let usable = open().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
@@ -453,21 +461,45 @@
             let multiple = self.start.overload_factor;
             let spared = (multiple / 3.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
             let spared = if self.strained && 2.0 * warm > all { 0.0 } else { spared };
-            // An operation open to all leans away from the workers that narrower ones already load.
-            let ops = || (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1);
-            let demand: f64 = self.proxies.values().flat_map(|p| ops().map(|op| self.demand(p, op))).sum();
+            // An operation open to all leans away from the workers that narrower ones already load; and where
+            // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
+            let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
+            let came = |t: &Table| -> f64 {
+                let proxies = self.proxies.values().filter(|proxy| t.reads(proxy));
+                proxies.flat_map(|proxy| ops().map(|op| self.demand(proxy, op))).sum()
+            };
             let already: f64 = open().filter_map(|w| carried.get(&w.listed.worker)).sum();
+            let fair = (group.iter().map(|t| came(t)).sum::<f64>() + already) / usable;
+            let mut room: BTreeMap<WorkerId, f64> = BTreeMap::new();
             for worker in open() {
+                let (id, most) = (worker.listed.worker, fair * self.usable(worker));
+                room.insert(id, (most - carried.insert(id, most).unwrap_or(0.0)).max(most / LEANS));
+            }
+            let mut taken: BTreeMap<(TableId, WorkerId), f64> = BTreeMap::new();
+            for near in [true, false] {
+                for table in group {
+                    let at = |w: &&Worker| !near || table.near.is_none_or(|zone| zone == w.listed.zone);
+                    let here: Vec<WorkerId> = open().filter(at).map(|w| w.listed.worker).collect();
+                    let own: f64 = open().filter_map(|w| taken.get(&(table.id, w.listed.worker))).sum();
+                    let free = here.iter().map(|id| room[id]).sum::<f64>().max(1e-9);
+                    let part = ((came(table) - own) / free).clamp(0.0, 1.0);
+                    for id in here {
+                        let takes = room[&id] * part;
+                        *room.entry(id).or_default() -= takes;
+                        *taken.entry((table.id, id)).or_default() += takes;
+                    }
+                }
+            }
+            for (table, worker) in group.iter().flat_map(|table| open().map(move |worker| (table, worker))) {
+                let line = Key::Line(table.id, worker.listed.worker);
+                let even = came(table) * self.usable(worker) / usable;
+                let takes = taken[&(table.id, worker.listed.worker)];
+                let lean = if even > 0.0 { (takes / even * LEANS).round().max(1.0) / LEANS } else { 1.0 };
                 let cold = self.warmth(&worker.listed) < 1.0;
-                let carries = carried.entry(worker.listed.worker).or_insert(0.0);
-                let fair = (demand + already) * self.usable(worker) / usable;
-                let lean = ((1.0 - *carries / fair.max(1e-9)) * LEANS).round().clamp(1.0, LEANS) / LEANS;
-                *carries = fair.max(*carries);
                 let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
-                let line = Key::Line(table.id, worker.listed.worker);
                 wanted.push((line, ((weight * 1000.0).round() / 1000.0, Retry::Never)));
             }
-            for place in ops() {
+            for (table, place) in group.iter().flat_map(|table| ops().map(move |place| (table, place))) {
                 let op = OpId(place as u8);
                 // Proof that a try never ran makes another safe for every operation. Any other try, measured,
                 // multiplies an overload: a try given up goes on working at its worker.
@@ -662,8 +694,7 @@
     fn bind(&mut self, id: ProxyId, room: f64) {
         let mut cost = if self.message.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
         let mut binds = Vec::new();
-        let zone = self.proxies[&id].zone;
-        for table in self.tables.iter().filter(|table| table.own.is_none_or(|own| own == zone)) {
+        for table in self.tables.iter().filter(|table| table.reads(&self.proxies[&id])) {
             let mut sound = false;
             for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent.0 > 0.0) {
                 if let Key::Line(of, worker) = *key {
@@ -687,10 +718,9 @@
 
 /// The proxies that a change of this line is written to.
 fn reach(tables: &[Table], proxies: &BTreeMap<ProxyId, Proxy>, key: Key) -> Vec<ProxyId> {
-    let own = |id: TableId| tables[id.0 as usize].own;
     let reads = |proxy: &Proxy| match key {
         Key::Hold(_) => true,
-        Key::Line(id, _) | Key::Level(id, _) => proxy.bound && own(id).is_none_or(|own| own == proxy.zone),
+        Key::Line(id, _) | Key::Level(id, _) => proxy.bound && tables[id.0 as usize].reads(proxy),
     };
     proxies.iter().filter(|(_, proxy)| reads(proxy)).map(|(id, _)| *id).collect()
 }
@@ -699,14 +729,16 @@
 fn tables(start: &Start) -> Vec<Table> {
     let mut tables: Vec<Table> = Vec::new();
     for (place, op) in start.operations.iter().enumerate().take(32) {
-        for own in if op.own_zone { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
+        let (own, apart) = (op.own_zone, op.own_zone || start.crossing_price > start.channel_price);
+        for near in if apart { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
             let (zones, machines) = (op.zones.clone(), op.machines.clone());
-            let same = |t: &&mut Table| t.own == own && t.zones == zones && t.machines == machines;
+            let same =
+                |t: &&mut Table| (t.near, t.own) == (near, own) && t.zones == zones && t.machines == machines;
             if let Some(table) = tables.iter_mut().find(same) {
                 table.ops |= 1 << place;
             } else {
                 let id = TableId(tables.len() as u16);
-                tables.push(Table { id, ops: 1 << place, zones, machines, own });
+                tables.push(Table { id, ops: 1 << place, zones, machines, near, own });
             }
         }
     }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -37,6 +37,8 @@
         slices: 0,
         level_kind: LevelKind::Share,
         try_objectives: 1.0,
+        crossing_price: 0.01,
+        channel_price: 0.04,
         channel_rate: 1000.0,
         lines_waiting_most: 2000.0,
         message_overhead: 4.0,
