--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -85,8 +85,8 @@
     pub channel_rate: f64,
     pub lines_waiting_most: f64,
     pub message_overhead: f64,
-    /// Messages to one proxy within `messages_over`; 0 is no limit.
-    pub messages_most: usize,
+    /// Messages to one proxy within `messages_over`; infinite where there is no limit.
+    pub messages_most: f64,
     pub messages_over: Ms,
     pub transit_worst: Ms,
     pub report_period: Ms,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -96,7 +96,10 @@
         channel_rate: number(&info, "domain.channel-rate")?,
         lines_waiting_most: number(&info, "domain.pending-max")?,
         message_overhead: number(&info, "domain.overhead")?,
-        messages_most: count(&info, "domain.messages-most")?,
+        messages_most: match number(&info, "domain.messages-most")? {
+            0.0 => f64::INFINITY,
+            most => most,
+        },
         messages_over: number(&info, "domain.counted-over-ms")?,
         transit_worst: number(&info, "domain.worst-transit-ms")?,
         report_period: number(&info, "domain.period-ms")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,20 +20,17 @@
 const PATIENCE: f64 = 0.4;
 /// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
-/// Reports kept of each worker, and tries that are evidence enough to weigh it.
-const SAMPLES: usize = 12;
+/// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; steps of a lean.
+const KEPT: (usize, usize) = (12, 3);
 const ENOUGH: f64 = 4.0;
-/// Reports kept of what came to each proxy; steps in which a line leans away from a worker.
-const RATES: usize = 3;
 const LEANS: f64 = 8.0;
 /// A weight follows the ratio of its worker's cost to its peers' by this power, outside a deadband, in bounds.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
-/// Bounds of the multiple, and the part of the fleet's weight that may fall below half of it.
+/// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
-const HALF: f64 = 0.5;
-const LOW_MOST: f64 = 0.35;
+const LOW: (f64, f64) = (0.5, 0.35);
 /// The mean answer, in latency objectives, and the busyness that the part let in is steered to; bounds of a
 /// step, of those too small to take, of the part itself, and of its quick return to where it last jammed.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
@@ -41,9 +38,8 @@
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
-const JAM: f64 = 0.85;
 const LEAST_IN: f64 = 0.25;
-/// Levels differ by this multiple, so that small changes of the demand are not written; and none at all.
+/// Levels differ by this multiple, so that small changes are not written; and none at all.
 const LEVELS: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -54,10 +50,6 @@
     Level(TableId, OpId),
 }
 
-/// A weight, hold or level, and when a proxy tries again.
-type Value = (f64, Retry);
-const NOTHING: Value = (0.0, Retry::Never);
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Idle,
@@ -66,8 +58,8 @@
 }
 
 struct Entry {
-    wanted: Value,
-    sent: Value,
+    wanted: f64,
+    sent: f64,
     state: State,
 }
 
@@ -144,7 +136,6 @@
     blocks: Vec<Block>,
     /// The lines of this reply's message to each proxy.
     message: BTreeMap<ProxyId, f64>,
-    proven: Ms,
     changed: Ms,
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
@@ -158,16 +149,12 @@
 
 impl Brain {
     pub fn new(now: Ms, seed: u64, start: Start) -> Self {
-        let tables = if start.slices > 0 { Vec::new() } else { tables(&start) };
         Brain {
             rng: fastrand::Rng::with_seed(seed),
             now,
-            tables,
-            proven: now,
-            changed: f64::NEG_INFINITY,
+            tables: tables(&start),
             let_in: 1.0,
             jammed_at: 1.0,
-            let_in_at: now,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             start,
@@ -203,8 +190,8 @@
             Event::List { kind, workers, .. } => {
                 let listed = |worker: &Worker| workers.iter().any(|w| w.worker == worker.listed.worker);
                 let absent = self.workers.values().filter(|w| *kind != ListKind::Changes && !listed(w));
-                let gone: Vec<Listed> =
-                    absent.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() }).collect();
+                let gone = absent.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() });
+                let gone: Vec<Listed> = gone.collect();
                 gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
             }
             Event::Woken { .. } => self.wake = true,
@@ -220,7 +207,7 @@
                 if let Some(known) = self.proxies.get_mut(proxy) {
                     let rates = known.demand.entry(*op).or_default();
                     rates.push_front(invs * 1000.0 / over.max(1.0));
-                    rates.truncate(RATES);
+                    rates.truncate(KEPT.1);
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
@@ -228,7 +215,7 @@
                     let took = (tries - bad) * mean;
                     let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
                     known.samples.push_front(sample);
-                    known.samples.truncate(SAMPLES);
+                    known.samples.truncate(KEPT.0);
                 }
             }
             _ => {}
@@ -267,7 +254,7 @@
         let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(wire.0)) & 0xffff);
         let Some(proxy) = self.proxies.get_mut(&id).filter(|proxy| proxy.answered < mark) else { return };
         proxy.answered = mark;
-        self.proven = self.now;
+        self.blocks.iter_mut().for_each(|block| block.at = self.now);
         self.blocks.retain_mut(|block| {
             block.lines.retain(|to, _| block.mark > mark || *to != id);
             block.mark >= mark && !block.lines.is_empty()
@@ -278,17 +265,13 @@
     /// pace count: guards against a channel slowed several times, stalled proxies and lost answers.
     fn waiting(&self) -> f64 {
         let Some(first) = self.blocks.first() else { return 0.0 };
-        let since = self.now - first.at.max(self.proven);
-        let sent = since * self.start.channel_rate * SLOWEST / 1000.0;
+        let sent = (self.now - first.at) * self.start.channel_rate * SLOWEST / 1000.0;
         (self.blocks.iter().flat_map(|block| block.lines.values()).sum::<f64>() - sent).max(0.0)
     }
 
     fn weight(&self, listed: &Listed) -> f64 {
-        let known = self.workers.values().map(|worker| worker.listed.weight);
-        match listed.weight {
-            weight if weight > 0.0 => weight,
-            _ => mean(known.filter(|weight| *weight > 0.0)).unwrap_or(1.0),
-        }
+        let known = self.workers.values().map(|worker| worker.listed.weight).filter(|weight| *weight > 0.0);
+        Some(listed.weight).filter(|weight| *weight > 0.0).or_else(|| mean(known)).unwrap_or(1.0)
     }
 
     /// The least part of its capacity that a worker can have by now, in a few steps.
@@ -302,13 +285,9 @@
     /// What was met at a worker, by the reports since then: the sums, and the mean of its busyness.
     fn evidence(&self, worker: &Worker, since: Ms) -> Sample {
         let recent = || worker.samples.iter().filter(|sample| sample.at > since);
-        Sample {
-            at: since,
-            tries: recent().map(|sample| sample.tries).sum(),
-            bad: recent().map(|sample| sample.bad).sum(),
-            took: recent().map(|sample| sample.took).sum(),
-            busy: mean(recent().filter_map(|sample| sample.busy)),
-        }
+        let sum = |part: fn(&Sample) -> f64| recent().map(part).sum::<f64>();
+        let busy = mean(recent().filter_map(|sample| sample.busy));
+        Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
     }
 
     /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
@@ -328,8 +307,8 @@
         let busy = mean(peers.iter().filter_map(|met| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
-        let mut low: f64 =
-            ready().filter(|worker| worker.factor < HALF).map(|worker| self.weight(&worker.listed)).sum();
+        let low = ready().filter(|worker| worker.factor < LOW.0);
+        let mut low = low.map(|worker| self.weight(&worker.listed)).sum::<f64>();
         let mut weighed: Vec<(WorkerId, f64)> = Vec::new();
         for (&id, worker) in &self.workers {
             let own = self.evidence(worker, worker.weighed + settled);
@@ -346,13 +325,11 @@
             }
             let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(STEPS.0, STEPS.1);
             let most = if self.warmth(&worker.listed) < 1.0 { 1.0 } else { FACTORS.1 };
-            let mut factor = (worker.factor * step).clamp(FACTORS.0, most);
-            if factor < HALF && worker.factor >= HALF {
-                low += self.weight(&worker.listed);
-                if low > all * LOW_MOST {
-                    low -= self.weight(&worker.listed);
-                    factor = HALF;
-                }
+            let (fell, weight) = (worker.factor < LOW.0, self.weight(&worker.listed));
+            let least = if fell || low + weight <= all * LOW.1 { FACTORS.0 } else { LOW.0 };
+            let factor = (worker.factor * step).clamp(least, most);
+            if factor < LOW.0 && !fell {
+                low += weight;
                 let text = format!("to {factor:.2} of its weight: cost {ratio:.2} of its peers");
                 self.orders.push(Order::Log { about: Some(id), text });
             }
@@ -387,7 +364,7 @@
         self.strained = bears < if self.strained { 1.0 } else { SHED_IDLE.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
         if step < SHED_IDLE.0 {
-            self.jammed_at = self.let_in.max(JAM * self.jammed_at);
+            self.jammed_at = self.let_in.max(NEAR * self.jammed_at);
         }
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let next = (self.let_in * step).min(near).clamp(LEAST_IN, 1.0);
@@ -413,12 +390,8 @@
         if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
             return part.max(if self.start.level_kind == LevelKind::Share { 0.0 } else { NO_LIMIT });
         }
-        let rates = self
-            .proxies
-            .values()
-            .filter(|proxy| table.reads(proxy))
-            .map(|proxy| self.demand(proxy, op.0 as usize));
-        let mut rates: Vec<f64> = rates.collect();
+        let proxies = self.proxies.values().filter(|proxy| table.reads(proxy));
+        let mut rates: Vec<f64> = proxies.map(|proxy| self.demand(proxy, op.0 as usize)).collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * part;
         for (place, rate) in rates.iter().enumerate() {
@@ -433,18 +406,16 @@
 
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
-        match worker.listed.phase {
-            Phase::Ready => self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed),
-            _ => 0.0,
-        }
+        let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
+        ready * self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
-        let mut wanted: Vec<(Key, Value)> = Vec::new();
+        let mut wanted: Vec<(Key, f64)> = Vec::new();
         for (&id, worker) in &self.workers {
             let out = if worker.listed.phase == Phase::Ready { 0.0 } else { 1.0 };
-            wanted.push((Key::Hold(id), (out, Retry::Never)));
+            wanted.push((Key::Hold(id), out));
         }
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
@@ -464,47 +435,45 @@
             // An operation open to all leans away from the workers that narrower ones already load; and where
             // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
             let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
-            let came = |t: &Table| -> f64 {
-                let proxies = self.proxies.values().filter(|proxy| t.reads(proxy));
-                proxies.flat_map(|proxy| ops().map(|op| self.demand(proxy, op))).sum()
-            };
-            let already: f64 = open().filter_map(|w| carried.get(&w.listed.worker)).sum();
-            let fair = (group.iter().map(|t| came(t)).sum::<f64>() + already) / usable;
-            let mut room: BTreeMap<WorkerId, f64> = BTreeMap::new();
-            for worker in open() {
-                let (id, most) = (worker.listed.worker, fair * self.usable(worker));
-                room.insert(id, (most - carried.insert(id, most).unwrap_or(0.0)).max(most / LEANS));
+            let workers: Vec<&Worker> = open().collect();
+            let came = |proxy: &Proxy| ops().map(|op| self.demand(proxy, op)).sum::<f64>();
+            let came =
+                |t: &Table| self.proxies.values().filter(|proxy| t.reads(proxy)).map(came).sum::<f64>();
+            let came: Vec<f64> = group.iter().map(|table| came(table)).collect();
+            let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
+            let each = (came.iter().sum::<f64>() + already) / usable;
+            let mut room: Vec<f64> = Vec::new();
+            for worker in &workers {
+                let fair = each * self.usable(worker);
+                let before = carried.insert(worker.listed.worker, fair).unwrap_or(0.0);
+                room.push((fair - before).max(fair / LEANS));
             }
-            let mut taken: BTreeMap<(TableId, WorkerId), f64> = BTreeMap::new();
+            let mut taken = vec![vec![0.0; workers.len()]; group.len()];
             for near in [true, false] {
-                for table in group {
-                    let at = |w: &&Worker| !near || table.near.is_none_or(|zone| zone == w.listed.zone);
-                    let here: Vec<WorkerId> = open().filter(at).map(|w| w.listed.worker).collect();
-                    let own: f64 = open().filter_map(|w| taken.get(&(table.id, w.listed.worker))).sum();
-                    let free = here.iter().map(|id| room[id]).sum::<f64>().max(1e-9);
-                    let part = ((came(table) - own) / free).clamp(0.0, 1.0);
-                    for id in here {
-                        let takes = room[&id] * part;
-                        *room.entry(id).or_default() -= takes;
-                        *taken.entry((table.id, id)).or_default() += takes;
+                for (place, table) in group.iter().enumerate() {
+                    let at =
+                        |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
+                    let here: Vec<usize> = (0..workers.len()).filter(at).collect();
+                    let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
+                    let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
+                    for w in here {
+                        taken[place][w] += room[w] * part;
+                        room[w] *= 1.0 - part;
                     }
                 }
             }
-            for (table, worker) in group.iter().flat_map(|table| open().map(move |worker| (table, worker))) {
-                let line = Key::Line(table.id, worker.listed.worker);
-                let even = came(table) * self.usable(worker) / usable;
-                let takes = taken[&(table.id, worker.listed.worker)];
-                let lean = if even > 0.0 { (takes / even * LEANS).round().max(1.0) / LEANS } else { 1.0 };
-                let cold = self.warmth(&worker.listed) < 1.0;
-                let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
-                wanted.push((line, ((weight * 1000.0).round() / 1000.0, Retry::Never)));
-            }
-            for (table, place) in group.iter().flat_map(|table| ops().map(move |place| (table, place))) {
-                let op = OpId(place as u8);
-                // Proof that a try never ran makes another safe for every operation. Any other try, measured,
-                // multiplies an overload: a try given up goes on working at its worker.
-                let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
-                wanted.push((Key::Level(table.id, op), (self.level(table, op), retry)));
+            for (place, table) in group.iter().enumerate() {
+                for (worker, taken) in workers.iter().zip(&taken[place]) {
+                    let even = came[place] * self.usable(worker) / usable;
+                    let lean = if even > 0.0 { (taken / even * LEANS).round().max(1.0) / LEANS } else { 1.0 };
+                    let cold = self.warmth(&worker.listed) < 1.0;
+                    let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
+                    let line = Key::Line(table.id, worker.listed.worker);
+                    wanted.push((line, (weight * 1000.0).round() / 1000.0));
+                }
+                for op in ops().map(|place| OpId(place as u8)) {
+                    wanted.push((Key::Level(table.id, op), self.level(table, op)));
+                }
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
@@ -513,42 +482,40 @@
 
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
     /// counts as unapplied. Returns whether anything is to be sent for it now.
-    fn want(&mut self, key: Key, value: Value) -> bool {
-        let fresh = Entry { wanted: NOTHING, sent: NOTHING, state: State::Completed };
+    fn want(&mut self, key: Key, value: f64) -> bool {
+        let fresh = Entry { wanted: 0.0, sent: 0.0, state: State::Completed };
         let entry = self.entries.entry(key).or_insert(fresh);
-        if entry.wanted == value {
-            return false;
-        }
+        let changed = entry.wanted != value;
         entry.wanted = value;
-        if entry.sent != value {
+        if changed && entry.sent != value {
             entry.state = State::Idle;
-        } else if entry.state == State::Idle {
+        } else if changed && entry.state == State::Idle {
             // The channel is in order: the value on its way is the one wanted again.
             entry.state = State::Scheduled(self.mark);
         }
-        entry.sent != value
+        changed && entry.sent != value
     }
 
-    fn held(&self, id: WorkerId) -> Value {
-        self.entries.get(&Key::Hold(id)).map_or(NOTHING, |hold| hold.sent)
+    fn held(&self, id: WorkerId) -> bool {
+        self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent > 0.0)
     }
 
     /// The pairs that a changed line brings: lines go behind the hold, a hold is lifted behind the line
     /// that eases its worker in, and a table's last sound line is held behind its replacements.
     fn order(&mut self, key: Key) {
-        let removed = self.entries[&key].wanted.0 == 0.0;
+        let removed = self.entries[&key].wanted == 0.0;
         match key {
             Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
-            Key::Line(_, id) if self.held(id) != NOTHING => self.before(key, Key::Hold(id)),
+            Key::Line(_, id) if self.held(id) => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
                 for table in 0..self.tables.len() as u16 {
                     let (mut others, mut sound) = (Vec::new(), false);
                     for (line, entry) in &self.entries {
                         let Key::Line(of, other) = *line else { continue };
-                        if of.0 == table && other != id && entry.wanted.0 > 0.0 {
+                        if of.0 == table && other != id && entry.wanted > 0.0 {
                             others.push(*line);
-                            let sent = entry.sent.0 > 0.0 && entry.state == State::Completed;
-                            sound |= sent && self.held(other) == NOTHING;
+                            let sent = entry.sent > 0.0 && entry.state == State::Completed;
+                            sound |= sent && !self.held(other);
                         }
                     }
                     if !sound {
@@ -609,23 +576,21 @@
     fn send(&mut self) {
         let (now, most) = (self.now, self.start.lines_waiting_most);
         let waiting = self.waiting();
-        let each = self.start.message_overhead + 2.0;
-        let reserve = (self.proxies.len() as f64 * each).min(most * TOPPED.0 / 4.0);
-        let gap = match self.start.messages_most {
-            0 => self.start.report_period / 2.0,
-            most => self.start.messages_over / (most as f64 * ORDINARY_MESSAGES),
-        };
+        let drain = self.proxies.len() as f64 * (self.start.message_overhead + 2.0);
+        let reserve = drain.min(most * TOPPED.0 / 4.0);
+        let paced = self.start.messages_over / (self.start.messages_most * ORDINARY_MESSAGES);
+        let gap = paced.max(self.start.report_period / 2.0);
         let (mut drains, mut changes) = (Vec::new(), Vec::new());
         for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.state == State::Idle) {
             let ready = !self.pairs.keys().any(|pair| pair.1 == *key);
             let due = now >= self.changed + gap || reach(&self.tables, &self.proxies, *key).is_empty();
-            if let (Key::Hold(id), true) = (key, entry.wanted.0 > 0.0) {
+            if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
                 let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
                 if ready || overdue {
                     drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
             } else if ready && due {
-                changes.push((-(entry.wanted.0 - entry.sent.0).abs(), *key));
+                changes.push((-(entry.wanted - entry.sent).abs(), *key));
             }
         }
         for (part, key) in drains {
@@ -661,7 +626,7 @@
         for id in to.iter().filter(|id| !self.message.contains_key(id)) {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
-            free &= most == 0 || (sent.len() as f64) < (most as f64 * part).floor();
+            free &= (sent.len() as f64) < (most * part).floor();
         }
         free
     }
@@ -681,7 +646,10 @@
         let entry = self.entries.get_mut(&key).expect("a known key");
         entry.sent = entry.wanted;
         entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
-        let (level, retry) = entry.wanted;
+        let level = entry.wanted;
+        // Proof that a try never ran makes another safe for every operation. Any other try, measured,
+        // multiplies an overload: a try given up goes on working at its worker.
+        let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
         self.orders.push(match key {
             Key::Hold(worker) => Order::HoldBack { worker, out: level > 0.0 },
             Key::Line(table, worker) => Order::SetLine { table, worker, weight: level },
@@ -696,9 +664,9 @@
         let mut binds = Vec::new();
         for table in self.tables.iter().filter(|table| table.reads(&self.proxies[&id])) {
             let mut sound = false;
-            for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent.0 > 0.0) {
+            for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent > 0.0) {
                 if let Key::Line(of, worker) = *key {
-                    sound |= of == table.id && self.held(worker) == NOTHING;
+                    sound |= of == table.id && !self.held(worker);
                 }
                 let of = if let Key::Line(of, _) | Key::Level(of, _) = *key { of } else { table.id };
                 cost += if of == table.id { 1.0 } else { 0.0 };
@@ -728,7 +696,7 @@
 /// One table for each set of workers open to an operation; one a zone where only its own may serve.
 fn tables(start: &Start) -> Vec<Table> {
     let mut tables: Vec<Table> = Vec::new();
-    for (place, op) in start.operations.iter().enumerate().take(32) {
+    for (place, op) in start.operations.iter().enumerate().take(if start.slices > 0 { 0 } else { 32 }) {
         let (own, apart) = (op.own_zone, op.own_zone || start.crossing_price > start.channel_price);
         for near in if apart { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
             let (zones, machines) = (op.zones.clone(), op.machines.clone());
