--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const KEPT: (usize, usize) = (12, 3);
 const ENOUGH: f64 = 4.0;
 const LEANS: f64 = 8.0;
-/// A weight follows the ratio of its worker's cost to its peers' by this power, outside a deadband, in bounds.
+/// A weight follows its worker's cost against its peers' by this power, outside a deadband, in bounds.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
