--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,10 +20,10 @@
 const PATIENCE: f64 = 0.4;
 /// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
-/// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; steps of a lean.
+/// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
 const KEPT: (usize, usize) = (12, 3);
 const ENOUGH: f64 = 4.0;
-const LEANS: f64 = 8.0;
+const LEAST_LEAN: f64 = 0.125;
 /// A weight follows its worker's cost against its peers' by this power, outside a deadband, in bounds.
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
@@ -39,8 +39,8 @@
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
 const LEAST_IN: f64 = 0.25;
-/// Levels differ by this multiple, so that small changes are not written; and none at all.
-const LEVELS: f64 = 1.1;
+/// Leans and levels differ by this multiple at least, and the level that is none.
+const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -298,10 +298,9 @@
         // Reports tell what an order did once they have settled.
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
-        let objectives = self.start.operations.iter().map(|op| op.latency_objective);
-        let lost = 2.0 * objectives.fold(0.0, f64::max);
-        let peers: Vec<Sample> =
-            self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled)).collect();
+        let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
+        let peers = self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled));
+        let peers: Vec<Sample> = peers.collect();
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
@@ -397,7 +396,7 @@
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
             if *rate >= each && each > 0.0 {
-                return LEVELS.powf((each.max(0.1).ln() / LEVELS.ln()).round());
+                return stepped(each.max(0.1));
             }
             left -= rate;
         }
@@ -412,41 +411,38 @@
 
     /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
-        let mut wanted: Vec<(Key, f64)> = Vec::new();
-        for (&id, worker) in &self.workers {
-            let out = if worker.listed.phase == Phase::Ready { 0.0 } else { 1.0 };
-            wanted.push((Key::Hold(id), out));
-        }
+        let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
+        let mut wanted: Vec<(Key, f64)> =
+            self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_key(|t| (self.workers.values().filter(|w| t.open(&w.listed)).count(), t.ops));
         for group in tables.chunk_by(|a, b| a.ops == b.ops && !a.own) {
-            let open = || self.workers.values().filter(|worker| group[0].open(&worker.listed));
-            let here = open().filter(|worker| worker.listed.phase != Phase::Gone);
-            let all: f64 = here.map(|worker| self.weight(&worker.listed)).sum();
-            let usable = open().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-            let warm: f64 = open().filter(|w| self.warmth(&w.listed) >= 1.0).map(|w| self.usable(w)).sum();
+            let workers = self.workers.values().filter(|worker| group[0].open(&worker.listed));
+            let workers: Vec<&Worker> = workers.collect();
+            let here = workers.iter().filter(|w| w.listed.phase != Phase::Gone);
+            let all = here.map(|w| self.weight(&w.listed)).sum::<f64>();
+            let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
+            let warm = workers.iter().filter(|w| self.warmth(&w.listed) >= 1.0).map(|w| self.usable(w));
             // What others cannot take moves onto the cold, so they get less of it than their part; and none
             // while the fleet is strained and mostly warm: guards against proxies that keep away from all
             // others, or try again and again, and so push over whoever has just come.
             let multiple = self.start.overload_factor;
             let spared = (multiple / 3.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
-            let spared = if self.strained && 2.0 * warm > all { 0.0 } else { spared };
+            let spared = if self.strained && 2.0 * warm.sum::<f64>() > all { 0.0 } else { spared };
             // An operation open to all leans away from the workers that narrower ones already load; and where
             // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
             let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
-            let workers: Vec<&Worker> = open().collect();
             let came = |proxy: &Proxy| ops().map(|op| self.demand(proxy, op)).sum::<f64>();
-            let came =
-                |t: &Table| self.proxies.values().filter(|proxy| t.reads(proxy)).map(came).sum::<f64>();
-            let came: Vec<f64> = group.iter().map(|table| came(table)).collect();
+            let came = |t: &&Table| self.proxies.values().filter(|p| t.reads(p)).map(came).sum();
+            let came: Vec<f64> = group.iter().map(came).collect();
             let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
             let each = (came.iter().sum::<f64>() + already) / usable;
             let mut room: Vec<f64> = Vec::new();
             for worker in &workers {
                 let fair = each * self.usable(worker);
                 let before = carried.insert(worker.listed.worker, fair).unwrap_or(0.0);
-                room.push((fair - before).max(fair / LEANS));
+                room.push((fair - before).max(fair * LEAST_LEAN));
             }
             let mut taken = vec![vec![0.0; workers.len()]; group.len()];
             for near in [true, false] {
@@ -465,7 +461,7 @@
             for (place, table) in group.iter().enumerate() {
                 for (worker, taken) in workers.iter().zip(&taken[place]) {
                     let even = came[place] * self.usable(worker) / usable;
-                    let lean = if even > 0.0 { (taken / even * LEANS).round().max(1.0) / LEANS } else { 1.0 };
+                    let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
                     let cold = self.warmth(&worker.listed) < 1.0;
                     let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
                     let line = Key::Line(table.id, worker.listed.worker);
@@ -718,6 +714,11 @@
     (count > 0.0).then(|| sum / count)
 }
 
+/// The nearest power of a step: small changes are not written.
+fn stepped(value: f64) -> f64 {
+    STEP.powf((value.ln() / STEP.ln()).round())
+}
+
 fn middle(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values[values.len() / 2]
