--- a/src/brain.rs
+++ b/src/brain.rs
@@ -428,7 +428,7 @@
             // while the fleet is strained and mostly warm: guards against proxies that keep away from all
             // others, or try again and again, and so push over whoever has just come.
             let multiple = self.start.overload_factor;
-            let spared = (multiple / 3.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
+            let spared = (multiple / 4.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
             let spared = if self.strained && 2.0 * warm.sum::<f64>() > all { 0.0 } else { spared };
             // An operation open to all leans away from the workers that narrower ones already load; and where
             // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
