Keep the cold out from the first sign of strain; let in as little as 0.12 in a jam

It should hold in any lasting jam; it may hurt a fleet that is always 0.9 busy and gets replaced: newcomers wait for their warm-up then.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,14 +31,15 @@
 /// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
-/// The mean answer, in latency objectives, and the busyness that the part let in is steered to; bounds of a
-/// step, of those too small to take, of the part itself, and of its quick return to where it last jammed.
+/// Mean answer, in latency objectives, and busyness that the part let in is steered to; bounds of a step, of
+/// those too small, and of what keeps the cold out; quick return to the last jam; the least let in.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
-const LEAST_IN: f64 = 0.25;
+const EASED: (f64, f64) = (0.92, 1.0);
+const LEAST_IN: f64 = 0.12;
 /// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
@@ -360,7 +361,7 @@
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let Some(bears) = self.bears(now - settled) else { return };
-        self.strained = bears < if self.strained { 1.0 } else { SHED_IDLE.0 };
+        self.strained = bears < if self.strained { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
         if step < SHED_IDLE.0 {
             self.jammed_at = self.let_in.max(NEAR * self.jammed_at);
@@ -547,9 +548,7 @@
                 return Some(vec![*pair]);
             }
             (!seen.contains(&pair.1)).then(|| seen.push(pair.1))?;
-            let mut path = self.path(pair.1, to, seen)?;
-            path.push(*pair);
-            Some(path)
+            Some([self.path(pair.1, to, seen)?, vec![*pair]].concat())
         })
     }
 
