--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,7 +39,7 @@
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
 const EASED: (f64, f64) = (0.92, 1.0);
-const LEAST_IN: f64 = 0.12;
+const LEAST_IN: (f64, f64) = (0.25, 0.12);
 /// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
@@ -367,7 +367,8 @@
             self.jammed_at = self.let_in.max(NEAR * self.jammed_at);
         }
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
-        let next = (self.let_in * step).min(near).clamp(LEAST_IN, 1.0);
+        let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0);
+        let next = (self.let_in * step).min(near).clamp(least.max(LEAST_IN.1), 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             (self.let_in, self.let_in_at) = (next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
