Where proxies avoid workers, the cold enter only with room to spare

It may hurt a fleet that is always busy where proxies avoid workers: newcomers wait for their warm-up.

--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -77,6 +77,8 @@
     /// Keys fall into so many slices; 0 where proxies are bound to tables instead.
     pub slices: usize,
     pub level_kind: LevelKind,
+    /// Proxies keep away for a while from a worker that failed them several times in a row.
+    pub proxies_avoid: bool,
     /// After how many latency objectives a try that may be followed is given up.
     pub try_objectives: f64,
     /// What crossing zones with each first try, and the whole pace of the channel, would cost.
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -90,6 +90,7 @@
             "rate" => LevelKind::PerSecond,
             _ => LevelKind::Unheeded,
         },
+        proxies_avoid: number(&info, "domain.outlier-after")? > 0.0,
         try_objectives: number(&info, "domain.try-aims")?,
         crossing_price: number(&info, "charges.cross-zone")?,
         channel_price: number(&info, "domain.cost-per-line")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,7 +38,7 @@
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
-const EASED: (f64, f64) = (0.92, 1.0);
+const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
 /// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
@@ -361,14 +361,14 @@
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let Some(bears) = self.bears(now - settled) else { return };
-        self.strained = bears < if self.strained { EASED.1 } else { EASED.0 };
+        self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
         if step < SHED_IDLE.0 {
             self.jammed_at = self.let_in.max(NEAR * self.jammed_at);
         }
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
-        let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0);
-        let next = (self.let_in * step).min(near).clamp(least.max(LEAST_IN.1), 1.0);
+        let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
+        let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             (self.let_in, self.let_in_at) = (next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
@@ -389,7 +389,7 @@
         let value = self.start.operations[op.0 as usize].billed_value.max(1e-9);
         let part = self.let_in.powf(mean(values).unwrap_or(1.0) / value);
         if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
-            return part.max(if self.start.level_kind == LevelKind::Share { 0.0 } else { NO_LIMIT });
+            return if self.start.level_kind == LevelKind::Share { part } else { NO_LIMIT };
         }
         let proxies = self.proxies.values().filter(|proxy| table.reads(proxy));
         let mut rates: Vec<f64> = proxies.map(|proxy| self.demand(proxy, op.0 as usize)).collect();
@@ -425,13 +425,13 @@
             let here = workers.iter().filter(|w| w.listed.phase != Phase::Gone);
             let all = here.map(|w| self.weight(&w.listed)).sum::<f64>();
             let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-            let warm = workers.iter().filter(|w| self.warmth(&w.listed) >= 1.0).map(|w| self.usable(w));
-            // What others cannot take moves onto the cold, so they get less of it than their part; and none
-            // while the fleet is strained and mostly warm: guards against proxies that keep away from all
-            // others, or try again and again, and so push over whoever has just come.
+            let warm = |w: &&&Worker| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0;
+            let warm: f64 = workers.iter().filter(warm).map(|w| self.weight(&w.listed)).sum();
+            // What others cannot take moves onto the cold: they get less of it, and nothing while the fleet
+            // is strained and mostly warm, as all that the others lose is brought to whoever has just come.
             let multiple = self.start.overload_factor;
             let spared = (multiple / 4.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
-            let spared = if self.strained && 2.0 * warm.sum::<f64>() > all { 0.0 } else { spared };
+            let spared = if self.strained && 2.0 * warm > all { 0.0 } else { spared };
             // An operation open to all leans away from the workers that narrower ones already load; and where
             // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
             let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -36,6 +36,7 @@
         zones: vec![ZoneId(0), ZoneId(1)],
         slices: 0,
         level_kind: LevelKind::Share,
+        proxies_avoid: false,
         try_objectives: 1.0,
         crossing_price: 0.01,
         channel_price: 0.04,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -435,3 +435,23 @@
     host.seconds(3, 2, &[]);
     assert!(host.weights[&(T, WorkerId(1))] > 0.5, "nobody near: the others carry it");
 }
+
+#[test]
+fn where_proxies_avoid_workers_a_cold_one_enters_only_with_room_to_spare() {
+    for (avoid, entered) in [(false, true), (true, false)] {
+        let mut host = Host::running(Start { proxies_avoid: avoid, ..start() }, 8, 2);
+        let busy = Load { busy: Some(0.84), ..Load::default() };
+        let sums = |worker| match sums(worker, 10.0, 0.0, 100.0) {
+            Event::WorkerSums { zone, worker, tries, bad, mean, over, .. } => {
+                Event::WorkerSums { zone, worker, tries, bad, mean, over, load: busy }
+            }
+            other => other,
+        };
+        let met: Vec<Event> = (0..8).map(sums).collect();
+        host.seconds(3, 2, &met);
+        let restart = host.now;
+        host.after(100.0, &[change(vec![restarted(8, restart)])]);
+        host.seconds(2, 2, &met);
+        assert_eq!(host.weight(8) > 0.0, entered);
+    }
+}
