--- a/src/brain.rs
+++ b/src/brain.rs
@@ -142,6 +142,7 @@
     let_in: f64,
     let_in_at: Ms,
     jammed_at: f64,
+    rising: bool,
     strained: bool,
     wake: bool,
     ask_at: Option<Ms>,
@@ -342,8 +343,8 @@
     }
 
     /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
-    /// middle worker's lost tries and mean answer tell, as one worker's trouble is no overload, and how busy
-    /// all are on average, which tells before either.
+    /// middle worker's lost tries and mean answer tell, as one worker's trouble is no overload, and sooner how
+    /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
     fn bears(&self, since: Ms) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
@@ -354,7 +355,9 @@
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let full = FULL / mean(met.iter().filter_map(|met| met.busy)).unwrap_or(0.0).max(0.1);
-        Some(late.min(SHED.1 * (1.0 - lost).powi(2)).min(full * full).clamp(SHED.0, SHED.1))
+        let tries: f64 = met.iter().map(|met| met.tries).sum();
+        let bears = late.min(SHED.1 * (1.0 - lost).powi(2)).min(full * full).clamp(SHED.0, SHED.1);
+        Some(bears.powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
     /// Lets less in while the fleet bears less, and more again once that is over.
@@ -363,14 +366,13 @@
         let Some(bears) = self.bears(now - settled) else { return };
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
-        if step < SHED_IDLE.0 {
-            self.jammed_at = self.let_in.max(NEAR * self.jammed_at);
-        }
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
-            (self.let_in, self.let_in_at) = (next, now);
+            // Cuts in a row answer one jam: its reports come late.
+            self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
+            (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
             self.orders.push(Order::Log { about: None, text });
         }
@@ -385,9 +387,8 @@
     /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
     fn level(&self, table: &Table, op: OpId) -> f64 {
         // What bills more is shed less; the part let in is steered by what that makes of the answers.
-        let values = self.start.operations.iter().map(|op| op.billed_value);
-        let value = self.start.operations[op.0 as usize].billed_value.max(1e-9);
-        let part = self.let_in.powf(mean(values).unwrap_or(1.0) / value);
+        let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
+        let part = self.let_in.powf(value / self.start.operations[op.0 as usize].billed_value.max(1e-9));
         if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
             return if self.start.level_kind == LevelKind::Share { part } else { NO_LIMIT };
         }
@@ -466,8 +467,7 @@
                     let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
                     let cold = self.warmth(&worker.listed) < 1.0;
                     let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
-                    let line = Key::Line(table.id, worker.listed.worker);
-                    wanted.push((line, (weight * 1000.0).round() / 1000.0));
+                    wanted.push((Key::Line(table.id, worker.listed.worker), (weight * 1e3).round() / 1e3));
                 }
                 for op in ops().map(|place| OpId(place as u8)) {
                     wanted.push((Key::Level(table.id, op), self.level(table, op)));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -455,3 +455,11 @@
         assert_eq!(host.weight(8) > 0.0, entered);
     }
 }
+
+#[test]
+fn a_handful_of_tries_gone_slowly_shuts_no_door() {
+    let mut host = Host::running(start(), 8, 2);
+    let slow: Vec<Event> = (0..4).map(|worker| sums(worker, 1.0, 0.0, 420.0)).collect();
+    host.seconds(8, 2, &slow);
+    assert!(host.admitted.iter().all(|admitted| admitted.0 == 1.0), "{:?}", host.admitted.last());
+}
