--- a/src/brain.rs
+++ b/src/brain.rs
@@ -343,7 +343,7 @@
     }
 
     /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
-    /// middle worker's lost tries and mean answer tell, as one worker's trouble is no overload, and sooner how
+    /// middle worker's lost tries and mean answer tell, one worker's trouble being no overload; sooner, how
     /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
     fn bears(&self, since: Ms) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
