--- a/src/brain.rs
+++ b/src/brain.rs
@@ -365,11 +365,7 @@
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let Some(bears) = self.bears(now - settled) else { return };
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
-        let Some(step) =
-            self.bears((self.let_in_at + settled + 0.5 * self.start.report_period).max(now - settled))
-        else {
-            return;
-        };
+        let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let next = (self.let_in * step).min(near).clamp(least, 1.0);
