--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -118,3 +118,25 @@
     let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
     text.unwrap_or_else(|| "the decision module panicked".into()).replace('\n', " ")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::serve;
+
+    fn replies(input: &str) -> Result<String, String> {
+        let mut output = Vec::new();
+        serve(input.as_bytes(), &mut output).map_err(|fault| fault.to_string())?;
+        Ok(String::from_utf8(output).unwrap())
+    }
+
+    #[test]
+    fn a_killed_instance_is_silent_and_a_malformed_line_is_named() {
+        let born = "TURN 1\nAT 0\nBORN 5 {\"new\":1}\nTOPOLOGY cached 0 1\nM 0 IN w - k z 1\nGO\n";
+        assert_eq!(replies(born).unwrap(), "BY 0\nWAKE_ME 20 beat\nACK\n");
+        let killed = format!("{born}TURN 2\nAT 0\nDETACH\nGO\nTURN 3\nAT 0\nSTREAM_DOWN 1\nGO\n");
+        assert!(replies(&killed).unwrap().ends_with("beat\nACK\nACK\nACK\n"));
+        let unknown = replies("TURN 1\nAT 3\nSTREAM_DOWN 1\nGO\n").unwrap_err();
+        assert!(unknown.contains("line 3") && unknown.contains("never born"), "{unknown}");
+        assert!(replies("TURN 1\nAT 0\n").unwrap_err().contains("ends within a batch"));
+    }
+}
