--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -128,9 +128,11 @@
     let orders = host.after(600.0, &[joined(1)]);
     assert_eq!(host.binds[&ProxyId(1)].len(), 2);
     assert_eq!(lines(&orders), 0, "nobody is sent again what stands");
-    host.after(50.0, &[Event::Left { proxy: ProxyId(0) }, Event::Left { proxy: ProxyId(1) }]);
+    host.after(600.0, &[heavier(1, 3.0)]);
+    let left = [Event::Left { proxy: ProxyId(0) }, Event::Left { proxy: ProxyId(1) }];
+    assert_eq!(lines(&host.after(50.0, &left)), 1, "idle again, as nobody is left to answer");
     host.after(600.0, &[joined(0)]);
-    assert_eq!(host.weight(1), 2.0);
+    assert_eq!(host.weight(1), 3.0);
     assert_eq!(host.binds[&ProxyId(0)].len(), 2);
 }
 
@@ -165,6 +167,14 @@
             assert!(host.holds(0), "ordinary changes had used up all messages");
         }
     }
+    // A drain every 200 ms would write far more; those that find no room wait.
+    for worker in 1..5 {
+        for back in [false, true] {
+            let phase = if back { Phase::Ready } else { Phase::Draining };
+            host.after(200.0, &[change(vec![listed(worker, phase)])]);
+            host.answer(2);
+        }
+    }
     let since = |from: &Ms| host.messages.iter().filter(|at| (*from..from + 10_000.0).contains(at)).count();
     assert!(host.messages.iter().map(since).max() <= Some(8));
 }
@@ -420,6 +430,8 @@
     let levels: Vec<f64> = host.admitted.iter().step_by(2).map(|admitted| admitted.0).collect();
     let risen = |pair: &[f64]| pair[1] / pair[0];
     assert!(levels.windows(2).filter(|pair| pair[0] >= 0.8).all(|pair| risen(pair) <= 1.11), "{levels:?}");
+    let quick = |pair: &[f64]| pair[1] > 0.5 && risen(pair) > 1.2;
+    assert!(levels.windows(2).any(quick), "cuts in a row are one jam: {levels:?}");
     assert_eq!(levels.last(), Some(&1.0));
 }
 
