--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -30,29 +30,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MarkId(pub u16);
 
-/// Which workers drop a repeat of a fingerprinted invocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Group {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Repeat {
-    Idempotent,
-    Fingerprinted { group: Group, window: Ms },
-    SideEffecting,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct Operation {
     /// The time within which an answer is wanted.
     pub latency_objective: Ms,
-    /// The time after which the client gives up.
-    pub integration_timeout: Ms,
     pub billed_value: f64,
-    pub repeat: Repeat,
     /// The zones and machines whose workers serve it; `None` is all of them.
     pub zones: Option<Vec<ZoneId>>,
     pub machines: Option<Vec<MachineId>>,
@@ -79,8 +61,6 @@
     pub level_kind: LevelKind,
     /// Proxies keep away for a while from a worker that failed them several times in a row.
     pub proxies_avoid: bool,
-    /// After how many latency objectives a try that may be followed is given up.
-    pub try_objectives: f64,
     /// What crossing zones with each first try, and the whole pace of the channel, would cost.
     pub crossing_price: f64,
     pub channel_price: f64,
