Parts of the fleet where a round of the whole table is over half the backlog; linear turns

The fleet is laid in parts as wide as a round can be paid for, light proxies dealt among them, heavy ones on the whole; a turn only looks at pending lines and the readers of each table.

--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -76,6 +76,9 @@
     pub warm_up: Ms,
     pub cold_share: f64,
     pub overload_factor: f64,
+    /// All proxies, and the managers that they join.
+    pub proxies: f64,
+    pub managers: f64,
     /// The list must be asked for.
     pub list_asked: bool,
     pub ask_within: Ms,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,7 +8,7 @@
 //! ordered by pairs (`before`), sent within half the backlog (`send`) and settled by answered marks.
 
 use juniperrail_interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Part of the lines that may wait which is topped up in a turn, and part that overdue drains may use.
 const TOPPED: (f64, f64) = (0.5, 0.8);
@@ -18,6 +18,11 @@
 const ORDINARY_MESSAGES: f64 = 0.6;
 /// Part of the drain grace after which a removal waits for no answer any more.
 const PATIENCE: f64 = 0.4;
+/// Least workers of a part, part of the channel's pace that the heads of ordinary messages may take where
+/// there are parts, and the multiple of an even load at which a part gives a proxy away.
+const LEAST_PART: f64 = 16.0;
+const HEADS: f64 = 0.2;
+const UNEVEN: f64 = 1.3;
 /// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
@@ -69,6 +74,7 @@
     mark: u64,
     at: Ms,
     lines: BTreeMap<ProxyId, f64>,
+    total: f64,
 }
 
 /// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
@@ -87,11 +93,15 @@
     factor: f64,
     weighed: Ms,
     samples: VecDeque<Sample>,
+    part: Option<u16>,
 }
 
 struct Proxy {
     zone: ZoneId,
     inv_per_second: f64,
+    /// The part that it is dealt to (the whole fleet if none), and whether its tables are that part's.
+    part: Option<u16>,
+    dealt: bool,
     bound: bool,
     answered: u64,
     messages: VecDeque<Ms>,
@@ -108,17 +118,18 @@
     /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
     own: bool,
+    /// Only the workers of this part of the fleet.
+    part: Option<u16>,
+    /// The proxies bound to it.
+    readers: BTreeSet<ProxyId>,
 }
 
 impl Table {
-    fn reads(&self, proxy: &Proxy) -> bool {
-        self.near.is_none_or(|near| near == proxy.zone)
-    }
-
-    fn open(&self, worker: &Listed) -> bool {
-        self.zones.as_ref().is_none_or(|zones| zones.contains(&worker.zone))
-            && self.machines.as_ref().is_none_or(|machines| machines.contains(&worker.machine))
-            && (!self.own || self.near == Some(worker.zone))
+    fn open(&self, worker: &Worker) -> bool {
+        self.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
+            && self.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
+            && (!self.own || self.near == Some(worker.listed.zone))
+            && (self.part.is_none() || self.part == worker.part)
     }
 }
 
@@ -131,12 +142,21 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: Vec<Table>,
     entries: BTreeMap<Key, Entry>,
+    /// The lines that are not completed.
+    pending: BTreeSet<Key>,
+    /// Parts of the fleet; 0 where one table serves all.
+    parts: u16,
+    /// The mean of the weights listed.
+    average: f64,
+    judge: bool,
+    judged: Ms,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
     blocks: Vec<Block>,
     /// The lines of this reply's message to each proxy.
     message: BTreeMap<ProxyId, f64>,
+    adding: f64,
     changed: Ms,
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
@@ -157,6 +177,7 @@
             tables: tables(&start),
             let_in: 1.0,
             jammed_at: 1.0,
+            average: 1.0,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             start,
@@ -168,21 +189,29 @@
     pub fn turn(&mut self, now: Ms, events: &[Event]) -> Vec<Order> {
         self.now = now;
         events.iter().for_each(|event| self.hear(event));
-        self.weigh();
-        self.ration();
-        self.plan();
+        if std::mem::take(&mut self.judge) || now >= self.judged + self.beat() {
+            self.judged = now;
+            self.weigh();
+            self.ration();
+            self.split();
+            self.deal();
+            self.plan();
+        }
         self.settle();
         self.send();
         if self.ask_at.take_if(|at| now >= *at).is_some() {
             self.orders.push(Order::FollowList(true));
         }
         if std::mem::take(&mut self.wake) {
-            let after = (self.start.report_period / 8.0).max(20.0);
-            self.orders.push(Order::Wake { after, handle: "beat".into() });
+            self.orders.push(Order::Wake { after: self.beat(), handle: "beat".into() });
         }
         std::mem::take(&mut self.orders)
     }
 
+    fn beat(&self) -> Ms {
+        (self.start.report_period / 8.0).max(20.0)
+    }
+
     fn hear(&mut self, event: &Event) {
         match event {
             Event::List { kind: ListKind::Failed, .. } => {
@@ -190,18 +219,24 @@
                 self.ask_at = self.start.list_asked.then_some(self.now + apart);
             }
             Event::List { kind, workers, .. } => {
-                let listed = |worker: &Worker| workers.iter().any(|w| w.worker == worker.listed.worker);
-                let absent = self.workers.values().filter(|w| *kind != ListKind::Changes && !listed(w));
-                let gone = absent.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() });
+                let listed: BTreeSet<WorkerId> = workers.iter().map(|listed| listed.worker).collect();
+                let known = self.workers.iter().filter(|_| *kind != ListKind::Changes);
+                let absent = known.filter(|(id, _)| !listed.contains(id));
+                let gone = absent.map(|(_, w)| Listed { phase: Phase::Gone, ..w.listed.clone() });
                 let gone: Vec<Listed> = gone.collect();
                 gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
+                let weights = self.workers.values().map(|worker| worker.listed.weight);
+                self.average = mean(weights.filter(|weight| *weight > 0.0)).unwrap_or(1.0);
+                self.judge = true;
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
                 let (messages, demand) = (VecDeque::new(), BTreeMap::new());
-                let joined = Proxy { zone, inv_per_second, bound: false, answered, messages, demand };
+                let (part, dealt, bound) = (None, false, false);
+                let joined = Proxy { zone, inv_per_second, part, dealt, bound, answered, messages, demand };
                 self.proxies.insert(*proxy, joined);
+                self.judge = true;
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
@@ -210,6 +245,7 @@
                     let rates = known.demand.entry(*op).or_default();
                     rates.push_front(invs * 1000.0 / over.max(1.0));
                     rates.truncate(KEPT.1);
+                    self.judge = true;
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
@@ -218,6 +254,7 @@
                     let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
                     known.samples.push_front(sample);
                     known.samples.truncate(KEPT.0);
+                    self.judge = true;
                 }
             }
             _ => {}
@@ -227,8 +264,8 @@
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, listed: Listed) {
         let (now, samples) = (self.now, VecDeque::new());
-        let fresh =
-            Worker { listed: listed.clone(), told: now, factor: 1.0, weighed: f64::NEG_INFINITY, samples };
+        let (weighed, part) = (f64::NEG_INFINITY, None);
+        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -243,9 +280,16 @@
     /// the others its next bind carries.
     fn left(&mut self, id: ProxyId) {
         let Some(proxy) = self.proxies.remove(&id) else { return };
-        for (key, entry) in &mut self.entries {
-            let owed = matches!(entry.state, State::Scheduled(mark) if mark > proxy.answered);
-            if owed && reach(&self.tables, &self.proxies, *key).is_empty() {
+        self.tables.iter_mut().for_each(|table| {
+            table.readers.remove(&id);
+        });
+        for key in &self.pending {
+            let nobody = match key {
+                Key::Hold(_) => self.proxies.is_empty(),
+                Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.is_empty(),
+            };
+            let entry = self.entries.get_mut(key).expect("a known key");
+            if nobody && matches!(entry.state, State::Scheduled(mark) if mark > proxy.answered) {
                 entry.state = State::Idle;
             }
         }
@@ -256,9 +300,11 @@
         let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(wire.0)) & 0xffff);
         let Some(proxy) = self.proxies.get_mut(&id).filter(|proxy| proxy.answered < mark) else { return };
         proxy.answered = mark;
-        self.blocks.iter_mut().for_each(|block| block.at = self.now);
         self.blocks.retain_mut(|block| {
-            block.lines.retain(|to, _| block.mark > mark || *to != id);
+            block.at = self.now;
+            if block.mark == mark {
+                block.total -= block.lines.remove(&id).unwrap_or(0.0);
+            }
             block.mark >= mark && !block.lines.is_empty()
         });
     }
@@ -268,12 +314,15 @@
     fn waiting(&self) -> f64 {
         let Some(first) = self.blocks.first() else { return 0.0 };
         let sent = (self.now - first.at) * self.start.channel_rate * SLOWEST / 1000.0;
-        (self.blocks.iter().flat_map(|block| block.lines.values()).sum::<f64>() - sent).max(0.0)
+        (self.blocks.iter().map(|block| block.total).sum::<f64>() - sent).max(0.0)
     }
 
     fn weight(&self, listed: &Listed) -> f64 {
-        let known = self.workers.values().map(|worker| worker.listed.weight).filter(|weight| *weight > 0.0);
-        Some(listed.weight).filter(|weight| *weight > 0.0).or_else(|| mean(known)).unwrap_or(1.0)
+        if listed.weight > 0.0 {
+            listed.weight
+        } else {
+            self.average
+        }
     }
 
     /// The least part of its capacity that a worker can have by now, in a few steps.
@@ -378,6 +427,131 @@
         }
     }
 
+    /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
+    /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
+    fn split(&mut self) {
+        let here =
+            |t: &Table| self.workers.values().filter(|w| w.listed.phase != Phase::Gone && t.open(w)).count();
+        let one = |t: &&Table| t.near.is_none_or(|near| Some(&near) == self.start.zones.first());
+        let (kinds, lines) =
+            self.tables.iter().filter(one).fold((0, 0), |sum, t| (sum.0 + 1, sum.1 + here(t)));
+        let proxies = self.expected();
+        let paid = self.start.lines_waiting_most * TOPPED.0 / proxies - self.start.message_overhead - 1.0;
+        let parts = (lines as f64 / paid.max(LEAST_PART * f64::from(kinds.max(1)))).min(1e3) as u16;
+        if self.parts > 0 || parts < 2 || lines as f64 <= paid {
+            return;
+        }
+        self.parts = parts;
+        for part in 0..parts {
+            let whole = tables(&self.start).into_iter();
+            let first = self.tables.len() as u16;
+            self.tables.extend(whole.map(|t| Table { id: TableId(first + t.id.0), part: Some(part), ..t }));
+        }
+        self.proxies.values_mut().for_each(|proxy| (proxy.dealt, proxy.bound) = (false, false));
+        self.orders.push(Order::Log {
+            about: None,
+            text: format!("{parts} parts: a round is {lines} lines a proxy"),
+        });
+    }
+
+    /// The proxies of this manager: its share of all, or those joined if there are more.
+    fn expected(&self) -> f64 {
+        (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
+    }
+
+    /// Deals workers and proxies to parts, even in weight, load and zone. They stay, so that nothing else moves
+    /// when others come and go; only where a part's load is uneven by far does a proxy move, one at a time.
+    /// A proxy that would fill half a part has the whole fleet.
+    fn deal(&mut self) {
+        let parts = 0..self.parts;
+        let mut carries = vec![0.0; parts.len()];
+        let mut weights: BTreeMap<(ZoneId, u16), f64> = BTreeMap::new();
+        for worker in self.workers.values().filter(|w| w.listed.phase != Phase::Gone) {
+            if let Some(part) = worker.part {
+                carries[part as usize] += self.weight(&worker.listed);
+                *weights.entry((worker.listed.zone, part)).or_default() += self.weight(&worker.listed);
+            }
+        }
+        let fresh = self.workers.values().filter(|w| w.part.is_none() && w.listed.phase != Phase::Gone);
+        let mut fresh: Vec<(f64, Listed)> =
+            fresh.map(|w| (-self.weight(&w.listed), w.listed.clone())).collect();
+        self.rng.shuffle(if self.parts > 0 { &mut fresh } else { &mut [] });
+        fresh.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (weight, listed) in fresh {
+            let zone = |part: u16| weights.get(&(listed.zone, part)).copied().unwrap_or(0.0);
+            let least = |part: &u16| (zone(*part), carries[*part as usize]);
+            let Some(part) = parts.clone().min_by(|a, b| least(a).partial_cmp(&least(b)).expect("weights"))
+            else {
+                return;
+            };
+            carries[part as usize] -= weight;
+            *weights.entry((listed.zone, part)).or_default() -= weight;
+            self.workers.get_mut(&listed.worker).expect("a known worker").part = Some(part);
+        }
+        if self.parts > 0 {
+            self.deal_proxies(&carries);
+        }
+    }
+
+    fn deal_proxies(&mut self, carries: &[f64]) {
+        let ops = self.start.operations.len();
+        let came = |proxy: &Proxy| (0..ops).map(|op| self.demand(proxy, op)).sum::<f64>();
+        let came: BTreeMap<ProxyId, f64> =
+            self.proxies.iter().map(|(id, proxy)| (*id, came(proxy))).collect();
+        let fair = mean(came.values().copied()).unwrap_or(0.0) * self.expected() / carries.len() as f64;
+        let mut loads = vec![0.0; carries.len()];
+        let mut zones: BTreeMap<(ZoneId, u16), f64> = BTreeMap::new();
+        let mut fresh: Vec<(f64, ProxyId)> = Vec::new();
+        for (id, proxy) in &self.proxies {
+            match proxy.part {
+                _ if !proxy.dealt => fresh.push((-came[id], *id)),
+                Some(part) => {
+                    loads[part as usize] += came[id];
+                    *zones.entry((proxy.zone, part)).or_default() += came[id];
+                }
+                None => {}
+            }
+        }
+        fresh.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        for (rate, id) in fresh {
+            let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
+            proxy.dealt = true;
+            if -rate > fair / 2.0 {
+                continue;
+            }
+            let zone = |part: u16| zones.get(&(proxy.zone, part)).copied().unwrap_or(0.0);
+            let load = |part: &u16| (loads[*part as usize] + zone(*part)) / carries[*part as usize].max(1e-9);
+            let part = (0..self.parts).min_by(|a, b| load(a).total_cmp(&load(b))).expect("some parts");
+            proxy.part = Some(part);
+            loads[part as usize] -= rate;
+            *zones.entry((proxy.zone, part)).or_default() -= rate;
+        }
+        let load = |part: usize| loads[part] / carries[part].max(1e-9);
+        let order = |a: &usize, b: &usize| load(*a).total_cmp(&load(*b));
+        let (Some(least), Some(most)) = ((0..loads.len()).min_by(order), (0..loads.len()).max_by(order))
+        else {
+            return;
+        };
+        let even = loads.iter().sum::<f64>() / carries.iter().sum::<f64>().max(1e-9);
+        if load(most) > UNEVEN * even {
+            let spare = (load(most) - load(least)) / 2.0 * carries[least];
+            let movable =
+                self.proxies.iter().filter(|(id, p)| p.part == Some(most as u16) && came[id] <= spare);
+            let largest = movable.max_by(|a, b| came[a.0].total_cmp(&came[b.0])).map(|(id, _)| *id);
+            if let Some(proxy) = largest.and_then(|id| self.proxies.get_mut(&id)) {
+                (proxy.part, proxy.bound) = (Some(least as u16), false);
+            }
+        }
+    }
+
+    /// The tables meant for a proxy, by their places.
+    fn meant(&self, proxy: &Proxy) -> impl Iterator<Item = &Table> {
+        let kinds = self.tables.len() / (usize::from(self.parts) + 1);
+        let first = proxy.part.map_or(0, |part| usize::from(part) + 1) * kinds;
+        let zone = proxy.zone;
+        self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
+    }
+
     /// Invocations a second of an operation at a proxy, by its reports or, before any, by its announcement.
     fn demand(&self, proxy: &Proxy, place: usize) -> f64 {
         let rates = proxy.demand.get(&OpId(place as u8)).into_iter().flatten();
@@ -392,7 +566,7 @@
         if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
             return if self.start.level_kind == LevelKind::Share { part } else { NO_LIMIT };
         }
-        let proxies = self.proxies.values().filter(|proxy| table.reads(proxy));
+        let proxies = table.readers.iter().map(|id| &self.proxies[id]);
         let mut rates: Vec<f64> = proxies.map(|proxy| self.demand(proxy, op.0 as usize)).collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * part;
@@ -418,10 +592,18 @@
         let mut wanted: Vec<(Key, f64)> =
             self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
+        let mut came_to = vec![0.0; self.tables.len()];
+        for proxy in self.proxies.values() {
+            for table in self.meant(proxy) {
+                let ops = (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1);
+                came_to[table.id.0 as usize] += ops.map(|op| self.demand(proxy, op)).sum::<f64>();
+            }
+        }
+        // Narrower ones first: parts before the whole, operations open to some before those open to all.
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_key(|t| (self.workers.values().filter(|w| t.open(&w.listed)).count(), t.ops));
-        for group in tables.chunk_by(|a, b| a.ops == b.ops && !a.own) {
-            let workers = self.workers.values().filter(|worker| group[0].open(&worker.listed));
+        tables.sort_by_cached_key(|t| (self.workers.values().filter(|w| t.open(w)).count(), t.ops, t.part));
+        for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.own) {
+            let workers = self.workers.values().filter(|worker| group[0].open(worker));
             let workers: Vec<&Worker> = workers.collect();
             let here = workers.iter().filter(|w| w.listed.phase != Phase::Gone);
             let all = here.map(|w| self.weight(&w.listed)).sum::<f64>();
@@ -436,9 +618,7 @@
             // An operation open to all leans away from the workers that narrower ones already load; and where
             // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
             let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
-            let came = |proxy: &Proxy| ops().map(|op| self.demand(proxy, op)).sum::<f64>();
-            let came = |t: &&Table| self.proxies.values().filter(|p| t.reads(p)).map(came).sum();
-            let came: Vec<f64> = group.iter().map(came).collect();
+            let came: Vec<f64> = group.iter().map(|t| came_to[t.id.0 as usize]).collect();
             let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
             let each = (came.iter().sum::<f64>() + already) / usable;
             let mut room: Vec<f64> = Vec::new();
@@ -475,7 +655,8 @@
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
-        wanted.into_iter().for_each(|(key, _)| self.order(key));
+        let sound = self.sound();
+        wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
@@ -487,6 +668,7 @@
         entry.wanted = value;
         if changed && entry.sent != value {
             entry.state = State::Idle;
+            self.pending.insert(key);
         } else if changed && entry.state == State::Idle {
             // The channel is in order: the value on its way is the one wanted again.
             entry.state = State::Scheduled(self.mark);
@@ -500,31 +682,39 @@
 
     /// The pairs that a changed line brings: lines go behind the hold, a hold is lifted behind the line
     /// that eases its worker in, and a table's last sound line is held behind its replacements.
-    fn order(&mut self, key: Key) {
+    fn order(&mut self, key: Key, sound: &[bool]) {
         let removed = self.entries[&key].wanted == 0.0;
         match key {
             Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
             Key::Line(_, id) if self.held(id) => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
-                for table in 0..self.tables.len() as u16 {
-                    let (mut others, mut sound) = (Vec::new(), false);
-                    for (line, entry) in &self.entries {
-                        let Key::Line(of, other) = *line else { continue };
-                        if of.0 == table && other != id && entry.wanted > 0.0 {
-                            others.push(*line);
-                            let sent = entry.sent > 0.0 && entry.state == State::Completed;
-                            sound |= sent && !self.held(other);
-                        }
-                    }
-                    if !sound {
-                        others.into_iter().for_each(|line| self.before(line, key));
-                    }
+                let bare = |t: &&Table| !sound[t.id.0 as usize] && t.open(&self.workers[&id]);
+                let bare: Vec<TableId> = self.tables.iter().filter(bare).map(|t| t.id).collect();
+                for table in bare {
+                    let lines = self.lines(table).filter(|(line, entry)| line.1 != id && entry.wanted > 0.0);
+                    let lines: Vec<(TableId, WorkerId)> = lines.map(|(line, _)| line).collect();
+                    lines.into_iter().for_each(|(of, other)| self.before(Key::Line(of, other), key));
                 }
             }
             _ => {}
         }
     }
 
+    fn lines(&self, table: TableId) -> impl Iterator<Item = ((TableId, WorkerId), &Entry)> {
+        let of = Key::Line(table, WorkerId(0))..=Key::Line(table, WorkerId(u32::MAX));
+        self.entries.range(of).filter_map(|(key, entry)| match *key {
+            Key::Line(of, worker) => Some(((of, worker), entry)),
+            _ => None,
+        })
+    }
+
+    /// Whether each table has a line in force that stays and may be picked.
+    fn sound(&self) -> Vec<bool> {
+        let stays = |e: &Entry| e.wanted > 0.0 && e.sent > 0.0 && e.state == State::Completed;
+        let sound = |t: &Table| self.lines(t.id).any(|((_, id), entry)| stays(entry) && !self.held(id));
+        self.tables.iter().map(sound).collect()
+    }
+
     /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
     /// of its first line linked to every child of its second, so that no implied order is lost.
     fn before(&mut self, parent: Key, child: Key) {
@@ -544,7 +734,8 @@
 
     /// The pairs that lead from one line to another, if any do.
     fn path(&self, from: Key, to: Key, seen: &mut Vec<Key>) -> Option<Vec<(Key, Key)>> {
-        self.pairs.keys().filter(|pair| pair.0 == from).find_map(|pair| {
+        let last = Key::Level(TableId(u16::MAX), OpId(u8::MAX));
+        self.pairs.range((from, Key::Hold(WorkerId(0)))..=(from, last)).find_map(|(pair, _)| {
             if pair.1 == to {
                 return Some(vec![*pair]);
             }
@@ -555,14 +746,27 @@
 
     /// A line is completed when every proxy that it was written to answered a mark sent after it.
     fn settle(&mut self) {
-        for (key, entry) in &mut self.entries {
-            let State::Scheduled(mark) = entry.state else { continue };
-            if reach(&self.tables, &self.proxies, *key).iter().all(|id| self.proxies[id].answered >= mark) {
+        let oldest = |table: &Table| table.readers.iter().map(|id| self.proxies[id].answered).min();
+        let oldest: Vec<u64> = self.tables.iter().map(|t| oldest(t).unwrap_or(u64::MAX)).collect();
+        let unbound = self.proxies.values().filter(|proxy| !proxy.bound).map(|proxy| proxy.answered).min();
+        let (tables, workers, entries) = (&self.tables, &self.workers, &mut self.entries);
+        self.pending.retain(|key| {
+            let entry = entries.get_mut(key).expect("a known key");
+            let State::Scheduled(mark) = entry.state else { return entry.state == State::Idle };
+            let settled = match *key {
+                Key::Line(of, _) | Key::Level(of, _) => oldest[of.0 as usize],
+                Key::Hold(id) => {
+                    let read =
+                        tables.iter().filter(|t| t.open(&workers[&id])).map(|t| oldest[t.id.0 as usize]);
+                    read.chain(unbound).min().unwrap_or(u64::MAX)
+                }
+            };
+            if settled >= mark {
                 entry.state = State::Completed;
             }
-        }
-        let entries = &self.entries;
-        let done = |key: &Key| entries.get(key).is_none_or(|entry| entry.state == State::Completed);
+            settled < mark
+        });
+        let done = |key: &Key| !self.pending.contains(key);
         self.pairs.retain(|pair, _| !done(&pair.0) && !done(&pair.1));
     }
 
@@ -575,17 +779,23 @@
         let drain = self.proxies.len() as f64 * (self.start.message_overhead + 2.0);
         let reserve = drain.min(most * TOPPED.0 / 4.0);
         let paced = self.start.messages_over / (self.start.messages_most * ORDINARY_MESSAGES);
-        let gap = paced.max(self.start.report_period / 2.0);
+        // In parts, the heads of the messages would take most of the channel: ordinary changes gather longer.
+        let heads = self.expected() * (self.start.message_overhead + 1.0) / (self.start.channel_rate * HEADS);
+        let gap =
+            paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads * 1000.0 } else { 0.0 });
+        let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
         let (mut drains, mut changes) = (Vec::new(), Vec::new());
-        for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.state == State::Idle) {
-            let ready = !self.pairs.keys().any(|pair| pair.1 == *key);
-            let due = now >= self.changed + gap || reach(&self.tables, &self.proxies, *key).is_empty();
-            if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
+        for key in &self.pending {
+            let entry = &self.entries[key];
+            let ready = !behind.contains(key);
+            if entry.state != State::Idle {
+                continue;
+            } else if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
                 let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
                 if ready || overdue {
                     drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
-            } else if ready && due {
+            } else if ready && (now >= self.changed + gap || self.unread(*key)) {
                 changes.push((-(entry.wanted - entry.sent).abs(), *key));
             }
         }
@@ -596,13 +806,20 @@
         let mut unbound: Vec<(f64, ProxyId)> =
             self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
-        unbound.into_iter().for_each(|(_, id)| self.bind(id, room));
+        // One that could never fit as a whole goes alone, into a channel that is empty.
+        let alone = if waiting > 0.0 { room } else { most * TOPPED.1 };
+        for (_, id) in unbound {
+            if !self.bind(id, if self.message.is_empty() { room.max(alone) } else { room }) {
+                break;
+            }
+        }
         changes.sort_by(|a, b| a.partial_cmp(b).expect("weights are numbers"));
         for (_, key) in changes {
             if self.add(key, room, ORDINARY_MESSAGES) {
                 self.changed = now;
             }
         }
+        self.adding = 0.0;
         let message = std::mem::take(&mut self.message);
         if message.is_empty() {
             return;
@@ -612,13 +829,14 @@
         for id in message.keys() {
             self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
         }
-        self.blocks.push(Block { mark: self.mark, at: now, lines: message });
+        let total = message.values().sum();
+        self.blocks.push(Block { mark: self.mark, at: now, lines: message, total });
     }
 
     /// Whether a message of so many more lines may go to these proxies, within `part` of their limit.
-    fn fits(&mut self, to: &[ProxyId], cost: f64, room: f64, part: f64) -> bool {
+    fn fits(&mut self, to: &BTreeSet<ProxyId>, cost: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
-        let mut free = self.message.values().sum::<f64>() + cost <= room;
+        let mut free = self.adding + cost <= room;
         for id in to.iter().filter(|id| !self.message.contains_key(id)) {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
@@ -629,13 +847,17 @@
 
     /// Adds a line to this reply if there is room for it at every proxy that it goes to.
     fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
-        let to = reach(&self.tables, &self.proxies, key);
+        if self.adding >= room && !self.unread(key) {
+            return false;
+        }
+        let to = self.reach(key);
         let each = self.start.message_overhead + 1.0;
         let new = to.iter().filter(|id| !self.message.contains_key(id)).count();
         let cost = to.len() as f64 + new as f64 * each;
         if !to.is_empty() && !self.fits(&to, cost, room, part) {
             return false;
         }
+        self.adding += cost;
         for id in &to {
             *self.message.entry(*id).or_insert(each) += 1.0;
         }
@@ -654,39 +876,58 @@
         true
     }
 
-    /// Binds a joined proxy to its tables if their lines fit; a table with nothing to pick waits.
-    fn bind(&mut self, id: ProxyId, room: f64) {
+    /// Binds a joined proxy to its tables if their lines fit, else returns false; a table with nothing to
+    /// pick waits.
+    fn bind(&mut self, id: ProxyId, room: f64) -> bool {
         let mut cost = if self.message.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
         let mut binds = Vec::new();
-        for table in self.tables.iter().filter(|table| table.reads(&self.proxies[&id])) {
-            let mut sound = false;
-            for (key, _) in self.entries.iter().filter(|(_, entry)| entry.sent > 0.0) {
-                if let Key::Line(of, worker) = *key {
-                    sound |= of == table.id && !self.held(worker);
-                }
-                let of = if let Key::Line(of, _) | Key::Level(of, _) = *key { of } else { table.id };
-                cost += if of == table.id { 1.0 } else { 0.0 };
-            }
-            if sound {
-                cost += 1.0;
-                binds.push(Order::Bind { table: table.id, ops: table.ops, proxy: id });
+        for table in self.meant(&self.proxies[&id]) {
+            let lines = || self.lines(table.id).filter(|(_, entry)| entry.sent > 0.0);
+            let held = lines().filter(|((_, worker), _)| self.held(*worker)).count();
+            let levels = self.start.operations.len().min(table.ops.count_ones() as usize);
+            if held < lines().count() {
+                cost += 1.0 + (lines().count() + held + levels) as f64;
+                binds.push((table.id, table.ops));
             }
         }
-        if !binds.is_empty() && self.fits(&[id], cost, room, 1.0) {
-            *self.message.entry(id).or_insert(0.0) += cost;
-            self.orders.append(&mut binds);
-            self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
+        if binds.is_empty() {
+            return true;
+        }
+        if !self.fits(&BTreeSet::from([id]), cost, room, 1.0) {
+            return false;
+        }
+        *self.message.entry(id).or_insert(0.0) += cost;
+        self.adding += cost;
+        self.tables.iter_mut().for_each(|table| {
+            table.readers.remove(&id);
+        });
+        for (table, ops) in binds {
+            self.tables[table.0 as usize].readers.insert(id);
+            self.orders.push(Order::Bind { table, ops, proxy: id });
         }
+        self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
+        true
+    }
+
+    /// The proxies that a change of this line is written to: a hold also to those that may hold others' tables.
+    fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
+        let (Key::Hold(id), true) = (key, self.start.slices == 0) else {
+            return match key {
+                Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.clone(),
+                Key::Hold(_) => self.proxies.keys().copied().collect(),
+            };
+        };
+        let sent = |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
+        let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
+        bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
     }
-}
 
-/// The proxies that a change of this line is written to.
-fn reach(tables: &[Table], proxies: &BTreeMap<ProxyId, Proxy>, key: Key) -> Vec<ProxyId> {
-    let reads = |proxy: &Proxy| match key {
-        Key::Hold(_) => true,
-        Key::Line(id, _) | Key::Level(id, _) => proxy.bound && tables[id.0 as usize].reads(proxy),
-    };
-    proxies.iter().filter(|(_, proxy)| reads(proxy)).map(|(id, _)| *id).collect()
+    fn unread(&self, key: Key) -> bool {
+        match key {
+            Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.is_empty(),
+            Key::Hold(_) => self.proxies.is_empty(),
+        }
+    }
 }
 
 /// One table for each set of workers open to an operation; one a zone where only its own may serve.
@@ -702,7 +943,8 @@
                 table.ops |= 1 << place;
             } else {
                 let id = TableId(tables.len() as u16);
-                tables.push(Table { id, ops: 1 << place, zones, machines, near, own });
+                let (part, readers) = (None, BTreeSet::new());
+                tables.push(Table { id, ops: 1 << place, zones, machines, near, own, part, readers });
             }
         }
     }
