Idle cores are no overload: lost, late and vanished answers shed nothing there

Told apart by the busyness in the reports: a jam has busy cores. Should also guard against slow paths and one-sided loss; may hurt where busyness is reported too low.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,7 @@
 /// those too small, and of what keeps the cold out; quick return to the last jam; the least let in.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
+const IDLE: f64 = 0.7;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
@@ -403,9 +404,13 @@
         let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
-        let full = FULL / mean(met.iter().filter_map(|met| met.busy)).unwrap_or(0.0).max(0.1);
+        let busy = mean(met.iter().filter_map(|met| met.busy));
+        let full = FULL / busy.unwrap_or(0.0).max(0.1);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
-        let bears = late.min(SHED.1 * (1.0 - lost).powi(2)).min(full * full).clamp(SHED.0, SHED.1);
+        // Lost answers, a slow path and impatient clients leave the cores idle: no overload, so no shedding.
+        let met = if busy.is_some_and(|busy| busy < IDLE) { SHED.1 } else { SHED.1 * (1.0 - lost).powi(2) };
+        let met = if busy.is_some_and(|busy| busy < IDLE) { met } else { met.min(late) };
+        let bears = met.min(full * full).clamp(SHED.0, SHED.1);
         Some(bears.powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -78,6 +78,11 @@
     Event::WorkerSums { zone, worker, tries, bad, mean, over: 1000.0, load }
 }
 
+pub fn loaded(worker: u32, tries: f64, bad: f64, mean: Ms, busy: f64) -> Event {
+    let (zone, worker, load) = (ZoneId(0), WorkerId(worker), Load { busy: Some(busy), ..Load::default() });
+    Event::WorkerSums { zone, worker, tries, bad, mean, over: 1000.0, load }
+}
+
 impl Host {
     pub fn with(start: Start) -> Self {
         Host {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -449,14 +449,7 @@
 fn where_proxies_avoid_workers_a_cold_one_enters_only_with_room_to_spare() {
     for (avoid, entered) in [(false, true), (true, false)] {
         let mut host = Host::running(Start { proxies_avoid: avoid, ..start() }, 8, 2);
-        let busy = Load { busy: Some(0.84), ..Load::default() };
-        let sums = |worker| match sums(worker, 10.0, 0.0, 100.0) {
-            Event::WorkerSums { zone, worker, tries, bad, mean, over, .. } => {
-                Event::WorkerSums { zone, worker, tries, bad, mean, over, load: busy }
-            }
-            other => other,
-        };
-        let met: Vec<Event> = (0..8).map(sums).collect();
+        let met: Vec<Event> = (0..8).map(|worker| loaded(worker, 10.0, 0.0, 100.0, 0.84)).collect();
         host.seconds(3, 2, &met);
         let restart = host.now;
         host.after(100.0, &[change(vec![restarted(8, restart)])]);
@@ -472,3 +465,13 @@
     host.seconds(8, 2, &slow);
     assert!(host.admitted.iter().all(|admitted| admitted.0 == 1.0), "{:?}", host.admitted.last());
 }
+
+#[test]
+fn lost_answers_with_idle_cores_are_no_overload() {
+    for (busy, shed) in [(0.4, false), (0.95, true)] {
+        let mut host = Host::running(start(), 8, 2);
+        let met: Vec<Event> = (0..8).map(|worker| loaded(worker, 10.0, 4.0, 800.0, busy)).collect();
+        host.seconds(6, 2, &met);
+        assert_eq!(host.admitted.iter().any(|admitted| admitted.0 < 0.9), shed);
+    }
+}
