--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,7 @@
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
 const IDLE: f64 = 0.7;
+const PROBED: f64 = 0.05;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
@@ -151,6 +152,7 @@
     average: f64,
     judge: bool,
     judged: Ms,
+    probed: Ms,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
@@ -192,6 +194,7 @@
         events.iter().for_each(|event| self.hear(event));
         if std::mem::take(&mut self.judge) || now >= self.judged + self.beat() {
             self.judged = now;
+            self.probe();
             self.weigh();
             self.ration();
             self.split();
@@ -258,6 +261,13 @@
                     self.judge = true;
                 }
             }
+            Event::Probed { worker, ending, load, .. } => {
+                let bad = f64::from(u8::from(!matches!(ending, Ending::Good | Ending::TurnedAway)));
+                if let Some(known) = self.workers.get_mut(worker) {
+                    known.samples.push_front(Sample { at: self.now, tries: bad, bad, took: 0.0, busy: load.busy });
+                    known.samples.truncate(KEPT.0);
+                }
+            }
             _ => {}
         }
     }
@@ -432,6 +442,23 @@
         }
     }
 
+    /// Where load shows in probes only, and a part of the fleet is enough to tell how busy all are, some of
+    /// its workers are asked, as many as a small part of what comes.
+    fn probe(&mut self) {
+        let ready = self.workers.values().filter(|w| w.listed.phase == Phase::Ready);
+        let ready: Vec<WorkerId> = ready.map(|w| w.listed.worker).collect();
+        let came = self.proxies.values().map(|proxy| proxy.inv_per_second).sum::<f64>();
+        let due = (came * self.beat() / 1000.0 * PROBED).floor();
+        if self.parts == 0 || !self.start.load_by_probe || ready.is_empty() || self.now < self.probed + self.beat() {
+            return;
+        }
+        self.probed = self.now;
+        for _ in 0..due as usize {
+            let worker = ready[self.rng.usize(..ready.len())];
+            self.orders.push(Order::Probe { worker });
+        }
+    }
+
     /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
     /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
