--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,7 @@
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
 const IDLE: f64 = 0.7;
+const FAR: f64 = 1.5;
 const PROBED: f64 = 0.05;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
@@ -152,6 +153,7 @@
     average: f64,
     judge: bool,
     judged: Ms,
+    leans: BTreeMap<ZoneId, (f64, Ms)>,
     probed: Ms,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
@@ -370,6 +372,7 @@
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
         let mut low = low.map(|worker| self.weight(&worker.listed)).sum::<f64>();
+        let far = self.paths(settled, lost);
         let mut weighed: Vec<(WorkerId, f64)> = Vec::new();
         for (&id, worker) in &self.workers {
             let own = self.evidence(worker, worker.weighed + settled);
@@ -377,7 +380,7 @@
             if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period {
                 continue;
             }
-            let mut ratio = (own.took + own.bad * lost) / n / cost;
+            let mut ratio = (own.took + own.bad * lost) / n / cost / far[&worker.listed.zone];
             if let (Some(own), Some(busy)) = (own.busy, busy) {
                 ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
@@ -402,6 +405,35 @@
         }
     }
 
+    /// A zone most of whose workers cost these proxies more than the other zones' is behind a bad path, not
+    /// full of sick workers: its lines lose weight together and at once, and each is judged against its own
+    /// zone. Returns what tries cost by zone.
+    fn paths(&mut self, settled: Ms, lost: Ms) -> BTreeMap<ZoneId, f64> {
+        let mut far = BTreeMap::new();
+        for zone in self.start.zones.clone() {
+            let (factor, at) = self.leans.get(&zone).copied().unwrap_or((1.0, f64::NEG_INFINITY));
+            let since = (at + settled).max(self.now - 2.0 * settled);
+            let (mut here, mut others) = (Vec::new(), Vec::new());
+            for worker in self.workers.values() {
+                let met = self.evidence(worker, since);
+                if met.tries > 0.0 {
+                    let to = if worker.listed.zone == zone { &mut here } else { &mut others };
+                    to.push((met.took + met.bad * lost) / met.tries);
+                }
+            }
+            let told = here.len().min(others.len()) as f64 >= LEAST_PART;
+            let ratio = if told { middle(here) / middle(others).max(1.0) } else { 1.0 };
+            far.insert(zone, if ratio > FAR { ratio } else { 1.0 });
+            if told && (ratio > FAR || factor < 1.0 && ratio < DEADBAND) && self.now >= at + settled {
+                let next = if ratio > FAR { factor / ratio } else { factor * 2.0 };
+                self.leans.insert(zone, (next.clamp(LEAST_LEAN, 1.0), self.now));
+                let text = format!("a zone to {:.2} of its weight: far by {ratio:.2}", next.clamp(LEAST_LEAN, 1.0));
+                self.orders.push(Order::Log { about: None, text });
+            }
+        }
+        far
+    }
+
     /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
     /// middle worker's lost tries and mean answer tell, one worker's trouble being no overload; sooner, how
     /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
@@ -615,7 +647,8 @@
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
-        ready * self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed)
+        let lean = self.leans.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
+        ready * self.weight(&worker.listed) * worker.factor * lean * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
