--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 const FULL: f64 = 0.85;
 const IDLE: f64 = 0.7;
 const FAR: f64 = 1.5;
-const PROBED: f64 = 0.05;
+const PROBED: f64 = 0.25;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
@@ -87,6 +87,7 @@
     bad: f64,
     took: Ms,
     busy: Option<f64>,
+    recent: Option<Ms>,
 }
 
 struct Worker {
@@ -97,6 +98,7 @@
     weighed: Ms,
     samples: VecDeque<Sample>,
     part: Option<u16>,
+    pace: f64,
 }
 
 struct Proxy {
@@ -257,7 +259,8 @@
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
                     let took = (tries - bad) * mean;
-                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
+                    let (busy, recent) = (load.busy, load.recent);
+                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy, recent };
                     known.samples.push_front(sample);
                     known.samples.truncate(KEPT.0);
                     self.judge = true;
@@ -266,7 +269,8 @@
             Event::Probed { worker, ending, load, .. } => {
                 let bad = f64::from(u8::from(!matches!(ending, Ending::Good | Ending::TurnedAway)));
                 if let Some(known) = self.workers.get_mut(worker) {
-                    known.samples.push_front(Sample { at: self.now, tries: bad, bad, took: 0.0, busy: load.busy });
+                    let (busy, recent) = (load.busy, load.recent);
+                    known.samples.push_front(Sample { at: self.now, tries: bad, bad, took: 0.0, busy, recent });
                     known.samples.truncate(KEPT.0);
                 }
             }
@@ -278,7 +282,7 @@
     fn list(&mut self, listed: Listed) {
         let (now, samples) = (self.now, VecDeque::new());
         let (weighed, part) = (f64::NEG_INFINITY, None);
-        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part };
+        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part, pace: 1.0 };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -351,7 +355,8 @@
         let recent = || worker.samples.iter().filter(|sample| sample.at > since);
         let sum = |part: fn(&Sample) -> f64| recent().map(part).sum::<f64>();
         let busy = mean(recent().filter_map(|sample| sample.busy));
-        Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
+        let pace = mean(recent().filter_map(|sample| sample.recent));
+        Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy, recent: pace }
     }
 
     /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
@@ -368,6 +373,13 @@
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
+        let pace = mean(peers.iter().filter_map(|met| met.recent));
+        let paces = self.workers.values().map(|worker| match (pace, self.evidence(worker, f64::NEG_INFINITY).recent) {
+            (Some(pace), Some(recent)) => stepped((pace / recent.max(1.0)).clamp(0.5, 1.5)),
+            _ => 1.0,
+        });
+        let paces: Vec<f64> = paces.collect();
+        self.workers.values_mut().zip(paces).for_each(|(worker, pace)| worker.pace = pace);
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
@@ -648,7 +660,7 @@
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
         let lean = self.leans.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
-        ready * self.weight(&worker.listed) * worker.factor * lean * self.warmth(&worker.listed)
+        ready * self.weight(&worker.listed) * worker.factor * worker.pace * lean * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
