A zone behind a bad path is leaned away from as a whole; busy probes tell strain

Cause: a slow, lossy path made a third of the workers look sick to some managers, who shed alone. Told apart from sick workers: three quarters of a zone's workers cost more than 1.5 times the other zones' middle one. Should guard against zone cuts on large sites; may hurt where one zone's machines are slower by half.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 const FULL: f64 = 0.85;
 const IDLE: f64 = 0.7;
 const FAR: f64 = 1.5;
-const PROBED: f64 = 0.25;
+const PROBED: f64 = 0.05;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
@@ -87,7 +87,6 @@
     bad: f64,
     took: Ms,
     busy: Option<f64>,
-    recent: Option<Ms>,
 }
 
 struct Worker {
@@ -98,7 +97,6 @@
     weighed: Ms,
     samples: VecDeque<Sample>,
     part: Option<u16>,
-    pace: f64,
 }
 
 struct Proxy {
@@ -259,18 +257,18 @@
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
                 if let Some(known) = self.workers.get_mut(worker) {
                     let took = (tries - bad) * mean;
-                    let (busy, recent) = (load.busy, load.recent);
-                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy, recent };
+                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
                     known.samples.push_front(sample);
                     known.samples.truncate(KEPT.0);
                     self.judge = true;
                 }
             }
             Event::Probed { worker, ending, load, .. } => {
-                let bad = f64::from(u8::from(!matches!(ending, Ending::Good | Ending::TurnedAway)));
                 if let Some(known) = self.workers.get_mut(worker) {
-                    let (busy, recent) = (load.busy, load.recent);
-                    known.samples.push_front(Sample { at: self.now, tries: bad, bad, took: 0.0, busy, recent });
+                    // One that finds no time to answer is busy.
+                    let (at, full) = (self.now, matches!(ending, Ending::Late | Ending::TurnedAway));
+                    let busy = if full { Some(1.0) } else { load.busy };
+                    known.samples.push_front(Sample { at, tries: 0.0, bad: 0.0, took: 0.0, busy });
                     known.samples.truncate(KEPT.0);
                 }
             }
@@ -282,7 +280,7 @@
     fn list(&mut self, listed: Listed) {
         let (now, samples) = (self.now, VecDeque::new());
         let (weighed, part) = (f64::NEG_INFINITY, None);
-        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part, pace: 1.0 };
+        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -355,8 +353,7 @@
         let recent = || worker.samples.iter().filter(|sample| sample.at > since);
         let sum = |part: fn(&Sample) -> f64| recent().map(part).sum::<f64>();
         let busy = mean(recent().filter_map(|sample| sample.busy));
-        let pace = mean(recent().filter_map(|sample| sample.recent));
-        Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy, recent: pace }
+        Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
     }
 
     /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
@@ -373,13 +370,6 @@
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
-        let pace = mean(peers.iter().filter_map(|met| met.recent));
-        let paces = self.workers.values().map(|worker| match (pace, self.evidence(worker, f64::NEG_INFINITY).recent) {
-            (Some(pace), Some(recent)) => stepped((pace / recent.max(1.0)).clamp(0.5, 1.5)),
-            _ => 1.0,
-        });
-        let paces: Vec<f64> = paces.collect();
-        self.workers.values_mut().zip(paces).for_each(|(worker, pace)| worker.pace = pace);
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
@@ -434,12 +424,13 @@
                 }
             }
             let told = here.len().min(others.len()) as f64 >= LEAST_PART;
-            let ratio = if told { middle(here) / middle(others).max(1.0) } else { 1.0 };
+            let ratio = if told { ranked(here, 0.25) / ranked(others, 0.5).max(1.0) } else { 1.0 };
             far.insert(zone, if ratio > FAR { ratio } else { 1.0 });
             if told && (ratio > FAR || factor < 1.0 && ratio < DEADBAND) && self.now >= at + settled {
                 let next = if ratio > FAR { factor / ratio } else { factor * 2.0 };
                 self.leans.insert(zone, (next.clamp(LEAST_LEAN, 1.0), self.now));
-                let text = format!("a zone to {:.2} of its weight: far by {ratio:.2}", next.clamp(LEAST_LEAN, 1.0));
+                let text =
+                    format!("a zone to {:.2} of its weight: far by {ratio:.2}", next.clamp(LEAST_LEAN, 1.0));
                 self.orders.push(Order::Log { about: None, text });
             }
         }
@@ -450,12 +441,15 @@
     /// middle worker's lost tries and mean answer tell, one worker's trouble being no overload; sooner, how
     /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
     fn bears(&self, since: Ms) -> Option<f64> {
-        let met = self.workers.values().map(|worker| self.evidence(worker, since));
+        // What comes by a bad path tells nothing of load.
+        let near =
+            |worker: &&Worker| self.leans.get(&worker.listed.zone).is_none_or(|(lean, _)| *lean >= 1.0);
+        let met = self.workers.values().filter(near).map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
         (met.len() as f64 >= ENOUGH).then_some(())?;
         let objectives = self.start.operations.iter().map(|op| op.latency_objective);
-        let took = middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect());
-        let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
+        let took = ranked(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect(), 0.5);
+        let lost = ranked(met.iter().map(|met| met.bad / met.tries).collect(), 0.5);
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let busy = mean(met.iter().filter_map(|met| met.busy));
@@ -493,7 +487,11 @@
         let ready: Vec<WorkerId> = ready.map(|w| w.listed.worker).collect();
         let came = self.proxies.values().map(|proxy| proxy.inv_per_second).sum::<f64>();
         let due = (came * self.beat() / 1000.0 * PROBED).floor();
-        if self.parts == 0 || !self.start.load_by_probe || ready.is_empty() || self.now < self.probed + self.beat() {
+        if self.parts == 0
+            || !self.start.load_by_probe
+            || ready.is_empty()
+            || self.now < self.probed + self.beat()
+        {
             return;
         }
         self.probed = self.now;
@@ -660,7 +658,7 @@
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
         let lean = self.leans.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
-        ready * self.weight(&worker.listed) * worker.factor * worker.pace * lean * self.warmth(&worker.listed)
+        ready * self.weight(&worker.listed) * worker.factor * lean * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
@@ -1039,7 +1037,8 @@
     STEP.powf((value.ln() / STEP.ln()).round())
 }
 
-fn middle(mut values: Vec<f64>) -> f64 {
+/// The value that this part of them stay below.
+fn ranked(mut values: Vec<f64>, part: f64) -> f64 {
     values.sort_by(f64::total_cmp);
-    values[values.len() / 2]
+    values[(values.len() as f64 * part) as usize]
 }
