--- a/src/brain.rs
+++ b/src/brain.rs
@@ -365,16 +365,18 @@
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
         let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
-        let peers = self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled));
-        let peers: Vec<Sample> = peers.collect();
-        let tries: f64 = peers.iter().map(|met| met.tries).sum();
-        let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
-        let busy = mean(peers.iter().filter_map(|met| met.busy));
+        let far = self.paths(settled, lost);
+        let dear =
+            |w: &Worker, met: &Sample| (met.took + met.bad * lost) / far.get(&w.listed.zone).unwrap_or(&1.0);
+        let met = self.workers.values().map(|w| (w, self.evidence(w, now - 2.0 * settled)));
+        let peers: Vec<(&Worker, Sample)> = met.collect();
+        let tries: f64 = peers.iter().map(|(_, met)| met.tries).sum();
+        let cost = peers.iter().map(|(worker, met)| dear(worker, met)).sum::<f64>() / tries;
+        let busy = mean(peers.iter().filter_map(|(_, met)| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
         let mut low = low.map(|worker| self.weight(&worker.listed)).sum::<f64>();
-        let far = self.paths(settled, lost);
         let mut weighed: Vec<(WorkerId, f64)> = Vec::new();
         for (&id, worker) in &self.workers {
             let own = self.evidence(worker, worker.weighed + settled);
@@ -382,7 +384,7 @@
             if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period {
                 continue;
             }
-            let mut ratio = (own.took + own.bad * lost) / n / cost / far[&worker.listed.zone];
+            let mut ratio = dear(worker, &own) / n / cost;
             if let (Some(own), Some(busy)) = (own.busy, busy) {
                 ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
