--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ProxyId(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,11 +18,11 @@
 const ORDINARY_MESSAGES: f64 = 0.6;
 /// Part of the drain grace after which a removal waits for no answer any more.
 const PATIENCE: f64 = 0.4;
-/// Least workers of a part, part of the channel's pace that the heads of ordinary messages may take where
-/// there are parts, and the multiple of an even load at which a part gives a proxy away.
+/// Least workers of a part, and of a zone whose path is judged; part of the channel's pace that the heads of
+/// ordinary messages may take where there are parts; probes for each invocation.
 const LEAST_PART: f64 = 16.0;
 const HEADS: f64 = 0.2;
-const UNEVEN: f64 = 1.3;
+const PROBED: f64 = 0.05;
 /// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
@@ -33,6 +33,8 @@
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
+/// A zone that costs so many times the others' is behind a bad path.
+const FAR: f64 = 1.5;
 /// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
@@ -41,8 +43,6 @@
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: f64 = 0.85;
 const IDLE: f64 = 0.7;
-const FAR: f64 = 1.5;
-const PROBED: f64 = 0.05;
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const NEAR: f64 = 0.8;
@@ -73,6 +73,7 @@
 }
 
 /// The lines of one reply's messages that no answer has proven to have left the channel.
+#[derive(Default)]
 struct Block {
     mark: u64,
     at: Ms,
@@ -99,10 +100,11 @@
     part: Option<u16>,
 }
 
+#[derive(Default)]
 struct Proxy {
     zone: ZoneId,
     inv_per_second: f64,
-    /// The part that it is dealt to (the whole fleet if none), and whether its tables are that part's.
+    /// The part of the fleet that it is dealt to; the whole if none.
     part: Option<u16>,
     dealt: bool,
     bound: bool,
@@ -123,7 +125,6 @@
     own: bool,
     /// Only the workers of this part of the fleet.
     part: Option<u16>,
-    /// The proxies bound to it.
     readers: BTreeSet<ProxyId>,
 }
 
@@ -151,17 +152,15 @@
     parts: u16,
     /// The mean of the weights listed.
     average: f64,
-    judge: bool,
     judged: Ms,
-    leans: BTreeMap<ZoneId, (f64, Ms)>,
-    probed: Ms,
+    /// Part of its weight that a zone behind a bad path keeps, and since when.
+    paths: BTreeMap<ZoneId, (f64, Ms)>,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
     blocks: Vec<Block>,
-    /// The lines of this reply's message to each proxy.
-    message: BTreeMap<ProxyId, f64>,
-    adding: f64,
+    /// This reply's messages.
+    message: Block,
     changed: Ms,
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
@@ -193,10 +192,15 @@
     /// Takes what happened up to `now` and returns what is to be done.
     pub fn turn(&mut self, now: Ms, events: &[Event]) -> Vec<Order> {
         self.now = now;
+        let beat = (self.start.report_period / 8.0).max(20.0);
         events.iter().for_each(|event| self.hear(event));
-        if std::mem::take(&mut self.judge) || now >= self.judged + self.beat() {
+        let due = now >= self.judged + beat;
+        if due {
             self.judged = now;
-            self.probe();
+            self.probe(beat);
+        }
+        // Answers alone change no judgement, and at size they come by the hundred.
+        if due || events.iter().any(|event| !matches!(event, Event::Answered { .. } | Event::Woken { .. })) {
             self.weigh();
             self.ration();
             self.split();
@@ -209,15 +213,11 @@
             self.orders.push(Order::FollowList(true));
         }
         if std::mem::take(&mut self.wake) {
-            self.orders.push(Order::Wake { after: self.beat(), handle: "beat".into() });
+            self.orders.push(Order::Wake { after: beat, handle: "beat".into() });
         }
         std::mem::take(&mut self.orders)
     }
 
-    fn beat(&self) -> Ms {
-        (self.start.report_period / 8.0).max(20.0)
-    }
-
     fn hear(&mut self, event: &Event) {
         match event {
             Event::List { kind: ListKind::Failed, .. } => {
@@ -233,16 +233,12 @@
                 gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
                 let weights = self.workers.values().map(|worker| worker.listed.weight);
                 self.average = mean(weights.filter(|weight| *weight > 0.0)).unwrap_or(1.0);
-                self.judge = true;
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
-                let (messages, demand) = (VecDeque::new(), BTreeMap::new());
-                let (part, dealt, bound) = (None, false, false);
-                let joined = Proxy { zone, inv_per_second, part, dealt, bound, answered, messages, demand };
+                let joined = Proxy { zone, inv_per_second, answered, ..Proxy::default() };
                 self.proxies.insert(*proxy, joined);
-                self.judge = true;
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
@@ -251,31 +247,29 @@
                     let rates = known.demand.entry(*op).or_default();
                     rates.push_front(invs * 1000.0 / over.max(1.0));
                     rates.truncate(KEPT.1);
-                    self.judge = true;
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
-                if let Some(known) = self.workers.get_mut(worker) {
-                    let took = (tries - bad) * mean;
-                    let sample = Sample { at: self.now, tries: *tries, bad: *bad, took, busy: load.busy };
-                    known.samples.push_front(sample);
-                    known.samples.truncate(KEPT.0);
-                    self.judge = true;
-                }
+                let (tries, bad, took) = (*tries, *bad, (tries - bad) * mean);
+                self.met(*worker, Sample { at: self.now, tries, bad, took, busy: load.busy });
             }
             Event::Probed { worker, ending, load, .. } => {
-                if let Some(known) = self.workers.get_mut(worker) {
-                    // One that finds no time to answer is busy.
-                    let (at, full) = (self.now, matches!(ending, Ending::Late | Ending::TurnedAway));
-                    let busy = if full { Some(1.0) } else { load.busy };
-                    known.samples.push_front(Sample { at, tries: 0.0, bad: 0.0, took: 0.0, busy });
-                    known.samples.truncate(KEPT.0);
-                }
+                // One that finds no time to answer is busy.
+                let full = matches!(ending, Ending::Late | Ending::TurnedAway);
+                let busy = if full { Some(1.0) } else { load.busy };
+                self.met(*worker, Sample { at: self.now, tries: 0.0, bad: 0.0, took: 0.0, busy });
             }
             _ => {}
         }
     }
 
+    fn met(&mut self, worker: WorkerId, sample: Sample) {
+        if let Some(known) = self.workers.get_mut(&worker) {
+            known.samples.push_front(sample);
+            known.samples.truncate(KEPT.0);
+        }
+    }
+
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, listed: Listed) {
         let (now, samples) = (self.now, VecDeque::new());
@@ -291,23 +285,11 @@
         worker.listed = listed;
     }
 
-    /// A broken stream ends the proxy's binds: lines that only it still owed an answer for become idle,
-    /// the others its next bind carries.
+    /// A broken stream ends the proxy's binds: lines that only it still owed an answer for become idle as
+    /// they settle, the others its next bind carries.
     fn left(&mut self, id: ProxyId) {
-        let Some(proxy) = self.proxies.remove(&id) else { return };
-        self.tables.iter_mut().for_each(|table| {
-            table.readers.remove(&id);
-        });
-        for key in &self.pending {
-            let nobody = match key {
-                Key::Hold(_) => self.proxies.is_empty(),
-                Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.is_empty(),
-            };
-            let entry = self.entries.get_mut(key).expect("a known key");
-            if nobody && matches!(entry.state, State::Scheduled(mark) if mark > proxy.answered) {
-                entry.state = State::Idle;
-            }
-        }
+        self.proxies.remove(&id);
+        self.tables.iter_mut().for_each(|table| _ = table.readers.remove(&id));
     }
 
     /// An answer settles its proxy's lines and proves that all messages before its own left the channel.
@@ -333,11 +315,7 @@
     }
 
     fn weight(&self, listed: &Listed) -> f64 {
-        if listed.weight > 0.0 {
-            listed.weight
-        } else {
-            self.average
-        }
+        Some(listed.weight).filter(|weight| *weight > 0.0).unwrap_or(self.average)
     }
 
     /// The least part of its capacity that a worker can have by now, in a few steps.
@@ -409,30 +387,30 @@
         }
     }
 
-    /// A zone most of whose workers cost these proxies more than the other zones' is behind a bad path, not
+    /// A zone most of whose workers cost these proxies more than the other zones' do is behind a bad path, not
     /// full of sick workers: its lines lose weight together and at once, and each is judged against its own
-    /// zone. Returns what tries cost by zone.
+    /// zone. Returns how many times the others' cost each far zone's is.
     fn paths(&mut self, settled: Ms, lost: Ms) -> BTreeMap<ZoneId, f64> {
         let mut far = BTreeMap::new();
         for zone in self.start.zones.clone() {
-            let (factor, at) = self.leans.get(&zone).copied().unwrap_or((1.0, f64::NEG_INFINITY));
+            let (lean, at) = self.paths.get(&zone).copied().unwrap_or((1.0, f64::NEG_INFINITY));
             let since = (at + settled).max(self.now - 2.0 * settled);
-            let (mut here, mut others) = (Vec::new(), Vec::new());
-            for worker in self.workers.values() {
-                let met = self.evidence(worker, since);
-                if met.tries > 0.0 {
-                    let to = if worker.listed.zone == zone { &mut here } else { &mut others };
-                    to.push((met.took + met.bad * lost) / met.tries);
-                }
+            let met = self.workers.values().map(|w| (w.listed.zone == zone, self.evidence(w, since)));
+            let met = met.filter(|(_, met)| met.tries > 0.0);
+            let cost = met.map(|(here, met)| (here, (met.took + met.bad * lost) / met.tries));
+            let (here, others): (Vec<_>, Vec<_>) = cost.partition(|(here, _)| *here);
+            if (here.len().min(others.len()) as f64) < LEAST_PART {
+                continue;
             }
-            let told = here.len().min(others.len()) as f64 >= LEAST_PART;
-            let ratio = if told { ranked(here, 0.25) / ranked(others, 0.5).max(1.0) } else { 1.0 };
-            far.insert(zone, if ratio > FAR { ratio } else { 1.0 });
-            if told && (ratio > FAR || factor < 1.0 && ratio < DEADBAND) && self.now >= at + settled {
-                let next = if ratio > FAR { factor / ratio } else { factor * 2.0 };
-                self.leans.insert(zone, (next.clamp(LEAST_LEAN, 1.0), self.now));
-                let text =
-                    format!("a zone to {:.2} of its weight: far by {ratio:.2}", next.clamp(LEAST_LEAN, 1.0));
+            let ratio = ranked(here.iter().map(|(_, cost)| *cost).collect(), 0.25)
+                / ranked(others.iter().map(|(_, cost)| *cost).collect(), 0.5).max(1.0);
+            if ratio > FAR {
+                far.insert(zone, ratio);
+            }
+            if self.now >= at + settled && (ratio > FAR || lean < 1.0 && ratio < DEADBAND) {
+                let next = if ratio > FAR { lean / ratio } else { lean * 2.0 };
+                self.paths.insert(zone, (next.clamp(LEAST_LEAN, 1.0), self.now));
+                let text = format!("a zone to {next:.2} of its weight: {ratio:.2} of the others' cost");
                 self.orders.push(Order::Log { about: None, text });
             }
         }
@@ -445,7 +423,7 @@
     fn bears(&self, since: Ms) -> Option<f64> {
         // What comes by a bad path tells nothing of load.
         let near =
-            |worker: &&Worker| self.leans.get(&worker.listed.zone).is_none_or(|(lean, _)| *lean >= 1.0);
+            |worker: &&Worker| self.paths.get(&worker.listed.zone).is_none_or(|(lean, _)| *lean >= 1.0);
         let met = self.workers.values().filter(near).map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
         (met.len() as f64 >= ENOUGH).then_some(())?;
@@ -482,141 +460,84 @@
         }
     }
 
-    /// Where load shows in probes only, and a part of the fleet is enough to tell how busy all are, some of
-    /// its workers are asked, as many as a small part of what comes.
-    fn probe(&mut self) {
-        let ready = self.workers.values().filter(|w| w.listed.phase == Phase::Ready);
-        let ready: Vec<WorkerId> = ready.map(|w| w.listed.worker).collect();
-        let came = self.proxies.values().map(|proxy| proxy.inv_per_second).sum::<f64>();
-        let due = (came * self.beat() / 1000.0 * PROBED).floor();
-        if self.parts == 0
-            || !self.start.load_by_probe
-            || ready.is_empty()
-            || self.now < self.probed + self.beat()
-        {
-            return;
-        }
-        self.probed = self.now;
-        for _ in 0..due as usize {
-            let worker = ready[self.rng.usize(..ready.len())];
-            self.orders.push(Order::Probe { worker });
+    /// Where load shows in probes only, some workers of a large fleet tell how busy all are.
+    fn probe(&mut self, beat: Ms) {
+        let ready = self.workers.iter().filter(|(_, worker)| worker.listed.phase == Phase::Ready);
+        let ready: Vec<WorkerId> = ready.map(|(id, _)| *id).collect();
+        let came = self.proxies.values().map(|proxy| proxy.inv_per_second).sum::<f64>() * beat / 1000.0;
+        if self.parts > 0 && self.start.load_by_probe && !ready.is_empty() {
+            let asked = (0..(came * PROBED) as usize).map(|_| ready[self.rng.usize(..ready.len())]);
+            self.orders.extend(asked.map(|worker| Order::Probe { worker }));
         }
     }
 
+    /// The proxies of this manager: its share of all, or those joined if there are more.
+    fn expected(&self) -> f64 {
+        (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
+    }
+
     /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
     /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
         let here =
             |t: &Table| self.workers.values().filter(|w| w.listed.phase != Phase::Gone && t.open(w)).count();
-        let one = |t: &&Table| t.near.is_none_or(|near| Some(&near) == self.start.zones.first());
-        let (kinds, lines) =
-            self.tables.iter().filter(one).fold((0, 0), |sum, t| (sum.0 + 1, sum.1 + here(t)));
-        let proxies = self.expected();
-        let paid = self.start.lines_waiting_most * TOPPED.0 / proxies - self.start.message_overhead - 1.0;
-        let parts = (lines as f64 / paid.max(LEAST_PART * f64::from(kinds.max(1)))).min(1e3) as u16;
-        if self.parts > 0 || parts < 2 || lines as f64 <= paid {
+        let read =
+            self.tables.iter().filter(|t| t.near.is_none_or(|near| Some(&near) == self.start.zones.first()));
+        let lines: Vec<usize> = read.map(here).collect();
+        let round = lines.iter().sum::<usize>() as f64;
+        let paid =
+            self.start.lines_waiting_most * TOPPED.0 / self.expected() - self.start.message_overhead - 1.0;
+        let parts = (round / paid.max(LEAST_PART * lines.len() as f64).max(1.0)) as u16;
+        if self.parts > 0 || parts < 2 || round <= paid {
             return;
         }
         self.parts = parts;
         for part in 0..parts {
-            let whole = tables(&self.start).into_iter();
             let first = self.tables.len() as u16;
+            let whole = tables(&self.start).into_iter();
             self.tables.extend(whole.map(|t| Table { id: TableId(first + t.id.0), part: Some(part), ..t }));
         }
-        self.proxies.values_mut().for_each(|proxy| (proxy.dealt, proxy.bound) = (false, false));
-        self.orders.push(Order::Log {
-            about: None,
-            text: format!("{parts} parts: a round is {lines} lines a proxy"),
-        });
-    }
-
-    /// The proxies of this manager: its share of all, or those joined if there are more.
-    fn expected(&self) -> f64 {
-        (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
+        self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
+        let text =
+            format!("{parts} parts: a round is {round} lines for each proxy, {paid:.0} can be paid for");
+        self.orders.push(Order::Log { about: None, text });
     }
 
-    /// Deals workers and proxies to parts, even in weight, load and zone. They stay, so that nothing else moves
-    /// when others come and go; only where a part's load is uneven by far does a proxy move, one at a time.
-    /// A proxy that would fill half a part has the whole fleet.
+    /// Deals workers and proxies that are new to the parts, even in weight and load, each zone's in turn. They
+    /// stay, so that nothing else moves when others come and go. A proxy that would fill half a part has the
+    /// whole fleet.
     fn deal(&mut self) {
-        let parts = 0..self.parts;
-        let mut carries = vec![0.0; parts.len()];
-        let mut weights: BTreeMap<(ZoneId, u16), f64> = BTreeMap::new();
-        for worker in self.workers.values().filter(|w| w.listed.phase != Phase::Gone) {
-            if let Some(part) = worker.part {
-                carries[part as usize] += self.weight(&worker.listed);
-                *weights.entry((worker.listed.zone, part)).or_default() += self.weight(&worker.listed);
+        let (mut weights, mut loads) = (vec![0.0; self.parts.into()], vec![0.0; self.parts.into()]);
+        let mut fresh: Vec<(ZoneId, WorkerId, f64)> = Vec::new();
+        for (id, worker) in self.workers.iter().filter(|(_, w)| w.listed.phase != Phase::Gone) {
+            match worker.part {
+                Some(part) => weights[usize::from(part)] += self.weight(&worker.listed),
+                None => fresh.push((worker.listed.zone, *id, self.weight(&worker.listed))),
             }
         }
-        let fresh = self.workers.values().filter(|w| w.part.is_none() && w.listed.phase != Phase::Gone);
-        let mut fresh: Vec<(f64, Listed)> =
-            fresh.map(|w| (-self.weight(&w.listed), w.listed.clone())).collect();
+        // Each manager draws parts of its own.
         self.rng.shuffle(if self.parts > 0 { &mut fresh } else { &mut [] });
-        fresh.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (weight, listed) in fresh {
-            let zone = |part: u16| weights.get(&(listed.zone, part)).copied().unwrap_or(0.0);
-            let least = |part: &u16| (zone(*part), carries[*part as usize]);
-            let Some(part) = parts.clone().min_by(|a, b| least(a).partial_cmp(&least(b)).expect("weights"))
-            else {
-                return;
-            };
-            carries[part as usize] -= weight;
-            *weights.entry((listed.zone, part)).or_default() -= weight;
-            self.workers.get_mut(&listed.worker).expect("a known worker").part = Some(part);
-        }
-        if self.parts > 0 {
-            self.deal_proxies(&carries);
+        fresh.sort_by_key(|(zone, ..)| *zone);
+        for (_, id, weight) in fresh {
+            self.workers.get_mut(&id).expect("a known worker").part = least(&mut weights, weight);
         }
-    }
-
-    fn deal_proxies(&mut self, carries: &[f64]) {
-        let ops = self.start.operations.len();
-        let came = |proxy: &Proxy| (0..ops).map(|op| self.demand(proxy, op)).sum::<f64>();
-        let came: BTreeMap<ProxyId, f64> =
-            self.proxies.iter().map(|(id, proxy)| (*id, came(proxy))).collect();
-        let fair = mean(came.values().copied()).unwrap_or(0.0) * self.expected() / carries.len() as f64;
-        let mut loads = vec![0.0; carries.len()];
-        let mut zones: BTreeMap<(ZoneId, u16), f64> = BTreeMap::new();
+        let ops = 0..self.start.operations.len();
+        let came = |proxy: &Proxy| ops.clone().map(|op| self.demand(proxy, op)).sum::<f64>();
         let mut fresh: Vec<(f64, ProxyId)> = Vec::new();
-        for (id, proxy) in &self.proxies {
+        for (id, proxy) in self.proxies.iter().filter(|_| self.parts > 0) {
             match proxy.part {
-                _ if !proxy.dealt => fresh.push((-came[id], *id)),
-                Some(part) => {
-                    loads[part as usize] += came[id];
-                    *zones.entry((proxy.zone, part)).or_default() += came[id];
-                }
+                Some(part) => loads[usize::from(part)] += came(proxy),
+                None if !proxy.dealt => fresh.push((came(proxy), *id)),
                 None => {}
             }
         }
-        fresh.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
+        let each =
+            mean(self.proxies.values().map(came)).unwrap_or(0.0) * self.expected() / f64::from(self.parts);
+        fresh.sort_by(|a, b| b.partial_cmp(a).expect("rates are numbers"));
         for (rate, id) in fresh {
+            let part = if rate <= each / 2.0 { least(&mut loads, rate) } else { None };
             let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
-            proxy.dealt = true;
-            if -rate > fair / 2.0 {
-                continue;
-            }
-            let zone = |part: u16| zones.get(&(proxy.zone, part)).copied().unwrap_or(0.0);
-            let load = |part: &u16| (loads[*part as usize] + zone(*part)) / carries[*part as usize].max(1e-9);
-            let part = (0..self.parts).min_by(|a, b| load(a).total_cmp(&load(b))).expect("some parts");
-            proxy.part = Some(part);
-            loads[part as usize] -= rate;
-            *zones.entry((proxy.zone, part)).or_default() -= rate;
-        }
-        let load = |part: usize| loads[part] / carries[part].max(1e-9);
-        let order = |a: &usize, b: &usize| load(*a).total_cmp(&load(*b));
-        let (Some(least), Some(most)) = ((0..loads.len()).min_by(order), (0..loads.len()).max_by(order))
-        else {
-            return;
-        };
-        let even = loads.iter().sum::<f64>() / carries.iter().sum::<f64>().max(1e-9);
-        if load(most) > UNEVEN * even {
-            let spare = (load(most) - load(least)) / 2.0 * carries[least];
-            let movable =
-                self.proxies.iter().filter(|(id, p)| p.part == Some(most as u16) && came[id] <= spare);
-            let largest = movable.max_by(|a, b| came[a.0].total_cmp(&came[b.0])).map(|(id, _)| *id);
-            if let Some(proxy) = largest.and_then(|id| self.proxies.get_mut(&id)) {
-                (proxy.part, proxy.bound) = (Some(least as u16), false);
-            }
+            (proxy.part, proxy.dealt) = (part, true);
         }
     }
 
@@ -628,22 +549,27 @@
         self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
     }
 
+    fn ops(&self, table: &Table) -> impl Iterator<Item = usize> {
+        let ops = table.ops;
+        (0..self.start.operations.len()).filter(move |place| ops >> place & 1 == 1)
+    }
+
     /// Invocations a second of an operation at a proxy, by its reports or, before any, by its announcement.
-    fn demand(&self, proxy: &Proxy, place: usize) -> f64 {
-        let rates = proxy.demand.get(&OpId(place as u8)).into_iter().flatten();
+    fn demand(&self, proxy: &Proxy, op: usize) -> f64 {
+        let rates = proxy.demand.get(&OpId(op as u8)).into_iter().flatten();
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
     /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
-    fn level(&self, table: &Table, op: OpId) -> f64 {
+    fn level(&self, table: &Table, op: usize) -> f64 {
         // What bills more is shed less; the part let in is steered by what that makes of the answers.
         let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
-        let part = self.let_in.powf(value / self.start.operations[op.0 as usize].billed_value.max(1e-9));
-        if self.start.level_kind == LevelKind::Share || self.let_in >= 1.0 {
-            return if self.start.level_kind == LevelKind::Share { part } else { NO_LIMIT };
+        let part = self.let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
+        if self.start.level_kind == LevelKind::Share {
+            return part;
         }
-        let proxies = table.readers.iter().map(|id| &self.proxies[id]);
-        let mut rates: Vec<f64> = proxies.map(|proxy| self.demand(proxy, op.0 as usize)).collect();
+        let proxies = table.readers.iter().filter(|_| part < 1.0);
+        let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * part;
         for (place, rate) in rates.iter().enumerate() {
@@ -659,7 +585,7 @@
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
-        let lean = self.leans.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
+        let lean = self.paths.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
         ready * self.weight(&worker.listed) * worker.factor * lean * self.warmth(&worker.listed)
     }
 
@@ -668,74 +594,99 @@
         let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
         let mut wanted: Vec<(Key, f64)> =
             self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
-        let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
-        let mut came_to = vec![0.0; self.tables.len()];
+        let mut came = vec![0.0; self.tables.len()];
         for proxy in self.proxies.values() {
             for table in self.meant(proxy) {
-                let ops = (0..self.start.operations.len()).filter(|place| table.ops >> place & 1 == 1);
-                came_to[table.id.0 as usize] += ops.map(|op| self.demand(proxy, op)).sum::<f64>();
+                came[usize::from(table.id.0)] +=
+                    self.ops(table).map(|op| self.demand(proxy, op)).sum::<f64>();
             }
         }
         // Narrower ones first: parts before the whole, operations open to some before those open to all.
+        let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| (self.workers.values().filter(|w| t.open(w)).count(), t.ops, t.part));
         for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.own) {
-            let workers = self.workers.values().filter(|worker| group[0].open(worker));
-            let workers: Vec<&Worker> = workers.collect();
-            let here = workers.iter().filter(|w| w.listed.phase != Phase::Gone);
-            let all = here.map(|w| self.weight(&w.listed)).sum::<f64>();
-            let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-            let warm = |w: &&&Worker| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0;
-            let warm: f64 = workers.iter().filter(warm).map(|w| self.weight(&w.listed)).sum();
-            // What others cannot take moves onto the cold: they get less of it, and nothing while the fleet
-            // is strained and mostly warm, as all that the others lose is brought to whoever has just come.
-            let multiple = self.start.overload_factor;
-            let spared = (multiple / 4.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
-            let spared = if self.strained && 2.0 * warm > all { 0.0 } else { spared };
-            // An operation open to all leans away from the workers that narrower ones already load; and where
-            // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
-            let ops = || (0..self.start.operations.len()).filter(|place| group[0].ops >> place & 1 == 1);
-            let came: Vec<f64> = group.iter().map(|t| came_to[t.id.0 as usize]).collect();
-            let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
-            let each = (came.iter().sum::<f64>() + already) / usable;
-            let mut room: Vec<f64> = Vec::new();
-            for worker in &workers {
-                let fair = each * self.usable(worker);
-                let before = carried.insert(worker.listed.worker, fair).unwrap_or(0.0);
-                room.push((fair - before).max(fair * LEAST_LEAN));
-            }
-            let mut taken = vec![vec![0.0; workers.len()]; group.len()];
-            for near in [true, false] {
-                for (place, table) in group.iter().enumerate() {
-                    let at =
-                        |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
-                    let here: Vec<usize> = (0..workers.len()).filter(at).collect();
-                    let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
-                    let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
-                    for w in here {
-                        taken[place][w] += room[w] * part;
-                        room[w] *= 1.0 - part;
-                    }
-                }
-            }
-            for (place, table) in group.iter().enumerate() {
-                for (worker, taken) in workers.iter().zip(&taken[place]) {
-                    let even = came[place] * self.usable(worker) / usable;
-                    let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
-                    let cold = self.warmth(&worker.listed) < 1.0;
-                    let weight = self.usable(worker) * lean * if cold { spared } else { 1.0 };
+            let workers: Vec<&Worker> =
+                self.workers.values().filter(|worker| group[0].open(worker)).collect();
+            let spared = self.spared(&workers);
+            let came: Vec<f64> = group.iter().map(|table| came[usize::from(table.id.0)]).collect();
+            let leans = self.leans(group, &workers, &came, &mut carried);
+            for (table, leans) in group.iter().zip(leans) {
+                for (worker, lean) in workers.iter().zip(leans) {
+                    let spared = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
+                    let weight = self.usable(worker) * lean * spared;
                     wanted.push((Key::Line(table.id, worker.listed.worker), (weight * 1e3).round() / 1e3));
                 }
-                for op in ops().map(|place| OpId(place as u8)) {
-                    wanted.push((Key::Level(table.id, op), self.level(table, op)));
-                }
+                let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
+                wanted.extend(self.ops(table).map(level));
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
-        let sound = self.sound();
+        // Tables with a line in force that stays and may be picked.
+        let stays = |e: &Entry| e.wanted > 0.0 && e.sent > 0.0 && e.state == State::Completed;
+        let sound = |t: &Table| self.lines(t.id).any(|(id, entry)| stays(entry) && !self.held(id));
+        let sound: Vec<bool> = self.tables.iter().map(sound).collect();
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
+    /// What of its weight a cold worker gets: less as others cannot take theirs, which moves onto the cold, and
+    /// nothing while the fleet is strained and mostly warm, as all that the others lose is brought to whoever
+    /// has just come.
+    fn spared(&self, workers: &[&Worker]) -> f64 {
+        let weight = |part: &dyn Fn(&Worker) -> bool| {
+            workers.iter().filter(|w| part(w)).map(|w| self.weight(&w.listed)).sum::<f64>()
+        };
+        let all = weight(&|w| w.listed.phase != Phase::Gone);
+        let warm = weight(&|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
+        let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>();
+        let multiple = self.start.overload_factor;
+        let spared = (multiple / 4.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
+        if self.strained && 2.0 * warm > all {
+            0.0
+        } else {
+            spared
+        }
+    }
+
+    /// An operation open to all leans away from the workers that narrower ones already load; and where
+    /// crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
+    fn leans(
+        &self,
+        group: &[&Table],
+        workers: &[&Worker],
+        came: &[f64],
+        carried: &mut BTreeMap<WorkerId, f64>,
+    ) -> Vec<Vec<f64>> {
+        let usable: Vec<f64> = workers.iter().map(|worker| self.usable(worker)).collect();
+        let all = usable.iter().sum::<f64>().max(1e-9);
+        let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
+        let each = (came.iter().sum::<f64>() + already) / all;
+        let mut room: Vec<f64> = Vec::new();
+        for (worker, usable) in workers.iter().zip(&usable) {
+            let before = carried.insert(worker.listed.worker, each * usable).unwrap_or(0.0);
+            room.push((each * usable - before).max(each * usable * LEAST_LEAN));
+        }
+        let mut taken = vec![vec![0.0; workers.len()]; group.len()];
+        for near in [true, false] {
+            for (place, table) in group.iter().enumerate() {
+                let at = |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
+                let here: Vec<usize> = (0..workers.len()).filter(at).collect();
+                let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
+                let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
+                for w in here {
+                    taken[place][w] += room[w] * part;
+                    room[w] *= 1.0 - part;
+                }
+            }
+        }
+        let lean =
+            |taken: f64, even: f64| if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
+        let of = |(taken, came): (Vec<f64>, &f64)| {
+            taken.iter().zip(&usable).map(|(taken, usable)| lean(*taken, came * usable / all)).collect()
+        };
+        taken.into_iter().zip(came).map(of).collect()
+    }
+
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
     /// counts as unapplied. Returns whether anything is to be sent for it now.
     fn want(&mut self, key: Key, value: f64) -> bool {
@@ -765,33 +716,27 @@
             Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
             Key::Line(_, id) if self.held(id) => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
-                let bare = |t: &&Table| !sound[t.id.0 as usize] && t.open(&self.workers[&id]);
-                let bare: Vec<TableId> = self.tables.iter().filter(bare).map(|t| t.id).collect();
-                for table in bare {
-                    let lines = self.lines(table).filter(|(line, entry)| line.1 != id && entry.wanted > 0.0);
-                    let lines: Vec<(TableId, WorkerId)> = lines.map(|(line, _)| line).collect();
-                    lines.into_iter().for_each(|(of, other)| self.before(Key::Line(of, other), key));
-                }
+                let bare =
+                    self.tables.iter().filter(|t| !sound[usize::from(t.id.0)] && t.open(&self.workers[&id]));
+                let lines = bare.flat_map(|table| {
+                    let others =
+                        self.lines(table.id).filter(|(other, entry)| *other != id && entry.wanted > 0.0);
+                    others.map(|(other, _)| Key::Line(table.id, other))
+                });
+                lines.collect::<Vec<Key>>().into_iter().for_each(|line| self.before(line, key));
             }
             _ => {}
         }
     }
 
-    fn lines(&self, table: TableId) -> impl Iterator<Item = ((TableId, WorkerId), &Entry)> {
+    fn lines(&self, table: TableId) -> impl Iterator<Item = (WorkerId, &Entry)> {
         let of = Key::Line(table, WorkerId(0))..=Key::Line(table, WorkerId(u32::MAX));
         self.entries.range(of).filter_map(|(key, entry)| match *key {
-            Key::Line(of, worker) => Some(((of, worker), entry)),
+            Key::Line(_, worker) => Some((worker, entry)),
             _ => None,
         })
     }
 
-    /// Whether each table has a line in force that stays and may be picked.
-    fn sound(&self) -> Vec<bool> {
-        let stays = |e: &Entry| e.wanted > 0.0 && e.sent > 0.0 && e.state == State::Completed;
-        let sound = |t: &Table| self.lines(t.id).any(|((_, id), entry)| stays(entry) && !self.held(id));
-        self.tables.iter().map(sound).collect()
-    }
-
     /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
     /// of its first line linked to every child of its second, so that no implied order is lost.
     fn before(&mut self, parent: Key, child: Key) {
@@ -821,124 +766,113 @@
         })
     }
 
-    /// A line is completed when every proxy that it was written to answered a mark sent after it.
+    /// A line is completed when every proxy that it was written to answered a mark sent after it, and idle again
+    /// when none is left to answer.
     fn settle(&mut self) {
-        let oldest = |table: &Table| table.readers.iter().map(|id| self.proxies[id].answered).min();
-        let oldest: Vec<u64> = self.tables.iter().map(|t| oldest(t).unwrap_or(u64::MAX)).collect();
+        let answered = |id: &ProxyId| self.proxies[id].answered;
+        let oldest: Vec<Option<u64>> =
+            self.tables.iter().map(|t| t.readers.iter().map(answered).min()).collect();
         let unbound = self.proxies.values().filter(|proxy| !proxy.bound).map(|proxy| proxy.answered).min();
-        let (tables, workers, entries) = (&self.tables, &self.workers, &mut self.entries);
         self.pending.retain(|key| {
-            let entry = entries.get_mut(key).expect("a known key");
-            let State::Scheduled(mark) = entry.state else { return entry.state == State::Idle };
-            let settled = match *key {
-                Key::Line(of, _) | Key::Level(of, _) => oldest[of.0 as usize],
+            let answered = match *key {
+                Key::Line(of, _) | Key::Level(of, _) => oldest[usize::from(of.0)],
                 Key::Hold(id) => {
-                    let read =
-                        tables.iter().filter(|t| t.open(&workers[&id])).map(|t| oldest[t.id.0 as usize]);
-                    read.chain(unbound).min().unwrap_or(u64::MAX)
+                    let read = self.tables.iter().filter(|t| t.open(&self.workers[&id]));
+                    read.filter_map(|t| oldest[usize::from(t.id.0)]).chain(unbound).min()
                 }
             };
-            if settled >= mark {
-                entry.state = State::Completed;
-            }
-            settled < mark
+            let entry = self.entries.get_mut(key).expect("a known key");
+            entry.state = match (entry.state, answered) {
+                (State::Scheduled(mark), Some(answered)) if answered >= mark => State::Completed,
+                (State::Scheduled(_), None) => State::Idle,
+                (state, _) => state,
+            };
+            entry.state != State::Completed
         });
-        let done = |key: &Key| !self.pending.contains(key);
-        self.pairs.retain(|pair, _| !done(&pair.0) && !done(&pair.1));
+        self.pairs.retain(|pair, _| self.pending.contains(&pair.0) && self.pending.contains(&pair.1));
     }
 
     /// Tops the waiting lines up to half the backlog: drains first, then binds, then the largest changes.
     /// Drains alone may use the reserve, and once overdue they wait for no answer: guards the drain grace
     /// against stalled proxies, lost answers and a slow channel.
     fn send(&mut self) {
-        let (now, most) = (self.now, self.start.lines_waiting_most);
-        let waiting = self.waiting();
-        let drain = self.proxies.len() as f64 * (self.start.message_overhead + 2.0);
-        let reserve = drain.min(most * TOPPED.0 / 4.0);
+        let (now, most, waiting) = (self.now, self.start.lines_waiting_most, self.waiting());
+        let head = self.start.message_overhead + 1.0;
+        let reserve = (self.proxies.len() as f64 * (head + 1.0)).min(most * TOPPED.0 / 4.0);
         let paced = self.start.messages_over / (self.start.messages_most * ORDINARY_MESSAGES);
-        // In parts, the heads of the messages would take most of the channel: ordinary changes gather longer.
-        let heads = self.expected() * (self.start.message_overhead + 1.0) / (self.start.channel_rate * HEADS);
-        let gap =
-            paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads * 1000.0 } else { 0.0 });
+        // In parts, heads would take most of the channel: ordinary changes gather longer.
+        let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * HEADS);
+        let gap = paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads } else { 0.0 });
         let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
         let (mut drains, mut changes) = (Vec::new(), Vec::new());
-        for key in &self.pending {
-            let entry = &self.entries[key];
-            let ready = !behind.contains(key);
-            if entry.state != State::Idle {
-                continue;
-            } else if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
+        for key in self.pending.iter().filter(|key| self.entries[key].state == State::Idle) {
+            let (entry, ready) = (&self.entries[key], !behind.contains(key));
+            if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
                 let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
                 if ready || overdue {
                     drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
             } else if ready && (now >= self.changed + gap || self.unread(*key)) {
-                changes.push((-(entry.wanted - entry.sent).abs(), *key));
+                changes.push(((entry.wanted - entry.sent).abs(), *key));
             }
         }
         for (part, key) in drains {
             self.add(key, most * part - waiting, 1.0);
         }
         let room = most * TOPPED.0 - reserve - waiting;
-        let mut unbound: Vec<(f64, ProxyId)> =
-            self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, p)| (-p.inv_per_second, *id)).collect();
-        unbound.sort_by(|a, b| a.partial_cmp(b).expect("rates are numbers"));
-        // One that could never fit as a whole goes alone, into a channel that is empty.
-        let alone = if waiting > 0.0 { room } else { most * TOPPED.1 };
+        let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.bound);
+        let mut unbound: Vec<(f64, ProxyId)> = unbound.map(|(id, p)| (p.inv_per_second, *id)).collect();
+        unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, id) in unbound {
-            if !self.bind(id, if self.message.is_empty() { room.max(alone) } else { room }) {
+            // One that could never fit goes alone, into a channel that is empty.
+            let alone = waiting == 0.0 && self.message.lines.is_empty();
+            if !self.bind(id, if alone { most * TOPPED.1 } else { room }) {
                 break;
             }
         }
-        changes.sort_by(|a, b| a.partial_cmp(b).expect("weights are numbers"));
+        changes.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, key) in changes {
             // What nobody reads costs nothing and must not hold up what is read.
-            if self.add(key, room, ORDINARY_MESSAGES) && !self.unread(key) {
+            if (self.message.total < room || self.unread(key)) && self.add(key, room, ORDINARY_MESSAGES) {
                 self.changed = now;
             }
         }
-        self.adding = 0.0;
-        let message = std::mem::take(&mut self.message);
-        if message.is_empty() {
-            return;
-        }
-        self.mark += 1;
-        self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
-        for id in message.keys() {
-            self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
+        if !self.message.lines.is_empty() {
+            self.mark += 1;
+            self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
+            for id in self.message.lines.keys() {
+                self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
+            }
+            let message = std::mem::take(&mut self.message);
+            self.blocks.push(Block { mark: self.mark, at: now, ..message });
         }
-        let total = message.values().sum();
-        self.blocks.push(Block { mark: self.mark, at: now, lines: message, total });
     }
 
-    /// Whether a message of so many more lines may go to these proxies, within `part` of their limit.
-    fn fits(&mut self, to: &BTreeSet<ProxyId>, cost: f64, room: f64, part: f64) -> bool {
+    /// Writes so many lines to each of these proxies if all fit, within `part` of their limit of messages.
+    fn write(&mut self, to: &BTreeSet<ProxyId>, lines: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
-        let mut free = self.adding + cost <= room;
-        for id in to.iter().filter(|id| !self.message.contains_key(id)) {
+        let head = self.start.message_overhead + 1.0;
+        let new: Vec<&ProxyId> = to.iter().filter(|id| !self.message.lines.contains_key(id)).collect();
+        let cost = to.len() as f64 * lines + new.len() as f64 * head;
+        let mut free = self.message.total + cost <= room;
+        for id in new {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
             free &= (sent.len() as f64) < (most * part).floor();
         }
+        if free {
+            self.message.total += cost;
+            to.iter().for_each(|id| *self.message.lines.entry(*id).or_insert(head) += lines);
+        }
         free
     }
 
-    /// Adds a line to this reply if there is room for it at every proxy that it goes to.
+    /// Adds a line to this reply if there is room for it at every proxy that reads it, and tells if any does.
     fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
-        if self.adding >= room && !self.unread(key) {
-            return false;
-        }
         let to = self.reach(key);
-        let each = self.start.message_overhead + 1.0;
-        let new = to.iter().filter(|id| !self.message.contains_key(id)).count();
-        let cost = to.len() as f64 + new as f64 * each;
-        if !to.is_empty() && !self.fits(&to, cost, room, part) {
+        if !to.is_empty() && !self.write(&to, 1.0, room, part) {
             return false;
         }
-        self.adding += cost;
-        for id in &to {
-            *self.message.entry(*id).or_insert(each) += 1.0;
-        }
         let entry = self.entries.get_mut(&key).expect("a known key");
         entry.sent = entry.wanted;
         entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
@@ -951,61 +885,51 @@
             Key::Line(table, worker) => Order::SetLine { table, worker, weight: level },
             Key::Level(id, op) => Order::Admit { reach: Reach::Table(id), ops: 1 << op.0, level, retry },
         });
-        true
+        !to.is_empty()
     }
 
-    /// Binds a joined proxy to its tables if their lines fit, else returns false; a table with nothing to
-    /// pick waits.
+    /// Binds a joined proxy to its tables if their lines fit; a table with nothing to pick waits.
     fn bind(&mut self, id: ProxyId, room: f64) -> bool {
-        let mut cost = if self.message.contains_key(&id) { 0.0 } else { self.start.message_overhead + 1.0 };
-        let mut binds = Vec::new();
+        let (mut cost, mut binds) = (0.0, Vec::new());
         for table in self.meant(&self.proxies[&id]) {
-            let lines = || self.lines(table.id).filter(|(_, entry)| entry.sent > 0.0);
-            let held = lines().filter(|((_, worker), _)| self.held(*worker)).count();
-            let levels = self.start.operations.len().min(table.ops.count_ones() as usize);
-            if held < lines().count() {
-                cost += 1.0 + (lines().count() + held + levels) as f64;
+            let lines = self.lines(table.id).filter(|(_, entry)| entry.sent > 0.0);
+            let (held, free): (Vec<_>, Vec<_>) = lines.partition(|(worker, _)| self.held(*worker));
+            if !free.is_empty() {
+                cost += (1 + 2 * held.len() + free.len() + self.ops(table).count()) as f64;
                 binds.push((table.id, table.ops));
             }
         }
-        if binds.is_empty() {
-            return true;
-        }
-        if !self.fits(&BTreeSet::from([id]), cost, room, 1.0) {
-            return false;
+        if binds.is_empty() || !self.write(&BTreeSet::from([id]), cost, room, 1.0) {
+            return binds.is_empty();
         }
-        *self.message.entry(id).or_insert(0.0) += cost;
-        self.adding += cost;
-        self.tables.iter_mut().for_each(|table| {
-            table.readers.remove(&id);
-        });
+        self.tables.iter_mut().for_each(|table| _ = table.readers.remove(&id));
         for (table, ops) in binds {
-            self.tables[table.0 as usize].readers.insert(id);
+            self.tables[usize::from(table.0)].readers.insert(id);
             self.orders.push(Order::Bind { table, ops, proxy: id });
         }
         self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
         true
     }
 
-    /// The proxies that a change of this line is written to: a hold also to those that may hold others' tables.
-    fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
-        let (Key::Hold(id), true) = (key, self.start.slices == 0) else {
-            return match key {
-                Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.clone(),
-                Key::Hold(_) => self.proxies.keys().copied().collect(),
-            };
-        };
-        let sent = |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
-        let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
-        bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
-    }
-
     fn unread(&self, key: Key) -> bool {
         match key {
-            Key::Line(of, _) | Key::Level(of, _) => self.tables[of.0 as usize].readers.is_empty(),
+            Key::Line(of, _) | Key::Level(of, _) => self.tables[usize::from(of.0)].readers.is_empty(),
             Key::Hold(_) => self.proxies.is_empty(),
         }
     }
+
+    /// The proxies that a change of this line is written to; a hold also to those that hold others' tables.
+    fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
+        match key {
+            Key::Line(of, _) | Key::Level(of, _) => self.tables[usize::from(of.0)].readers.clone(),
+            Key::Hold(id) => {
+                let sent =
+                    |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
+                let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
+                bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
+            }
+        }
+    }
 }
 
 /// One table for each set of workers open to an operation; one a zone where only its own may serve.
@@ -1029,6 +953,13 @@
     tables
 }
 
+/// The place that has least so far, which gets this more; none where there are no places.
+fn least(dealt: &mut [f64], more: f64) -> Option<u16> {
+    let place = (0..dealt.len()).min_by(|a, b| dealt[*a].total_cmp(&dealt[*b]))?;
+    dealt[place] += more;
+    Some(place as u16)
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     (count > 0.0).then(|| sum / count)
