--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,16 +14,13 @@
 const TOPPED: (f64, f64) = (0.5, 0.8);
 /// The channel is taken to send at this part of its rate until an answer proves otherwise.
 const SLOWEST: f64 = 0.1;
-/// Part of the messages to a proxy that ordinary changes may use; the rest is kept for drains.
-const ORDINARY_MESSAGES: f64 = 0.6;
+/// Part of the messages to a proxy that ordinary changes may use; in parts also of the channel, by heads.
+const ORDINARY: (f64, f64) = (0.6, 0.2);
 /// Part of the drain grace after which a removal waits for no answer any more.
 const PATIENCE: f64 = 0.4;
-/// Least workers of a part, and of a zone whose path is judged; part of the channel's pace that the heads of
-/// ordinary messages may take where there are parts; probes for each invocation.
+/// Least workers of a part; probes for each invocation; steps of a cold worker's ramp.
 const LEAST_PART: f64 = 16.0;
-const HEADS: f64 = 0.2;
 const PROBED: f64 = 0.05;
-/// A cold worker's ramp has so many steps.
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
 const KEPT: (usize, usize) = (12, 3);
@@ -33,22 +30,19 @@
 const GAIN: f64 = 0.6;
 const DEADBAND: f64 = 1.2;
 const STEPS: (f64, f64) = (0.2, 1.6);
-/// A zone that costs so many times the others' is behind a bad path.
-const FAR: f64 = 1.5;
 /// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
-/// Mean answer, in latency objectives, and busyness that the part let in is steered to; bounds of a step, of
-/// those too small, and of what keeps the cold out; quick return to the last jam; the least let in.
+/// Mean answer, in latency objectives, and busyness that the part let in is steered to, and busyness that is no
+/// strain; bounds of a step, of those too small, and of what keeps the cold out; the least let in.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
-const FULL: f64 = 0.85;
-const IDLE: f64 = 0.7;
+const FULL: (f64, f64) = (0.85, 0.7);
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
-const NEAR: f64 = 0.8;
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
-/// Leans and levels differ by this multiple at least, and the level that is none.
+/// Quick return to the last jam; the multiple by which leans and levels differ; the level that is none.
+const NEAR: f64 = 0.8;
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -97,7 +91,8 @@
     factor: f64,
     weighed: Ms,
     samples: VecDeque<Sample>,
-    part: Option<u16>,
+    /// How many were known before it; in parts it counts them out.
+    serial: usize,
 }
 
 #[derive(Default)]
@@ -105,8 +100,7 @@
     zone: ZoneId,
     inv_per_second: f64,
     /// The part of the fleet that it is dealt to; the whole if none.
-    part: Option<u16>,
-    dealt: bool,
+    part: Option<usize>,
     bound: bool,
     answered: u64,
     messages: VecDeque<Ms>,
@@ -118,22 +112,20 @@
 struct Table {
     id: TableId,
     ops: u32,
-    zones: Option<Vec<ZoneId>>,
-    machines: Option<Vec<MachineId>>,
+    open: Operation,
     /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
-    own: bool,
-    /// Only the workers of this part of the fleet.
-    part: Option<u16>,
+    /// Only this part of the fleet, of so many.
+    part: Option<(usize, usize)>,
     readers: BTreeSet<ProxyId>,
 }
 
 impl Table {
     fn open(&self, worker: &Worker) -> bool {
-        self.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
-            && self.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
-            && (!self.own || self.near == Some(worker.listed.zone))
-            && (self.part.is_none() || self.part == worker.part)
+        self.open.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
+            && self.open.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
+            && (!self.open.own_zone || self.near == Some(worker.listed.zone))
+            && self.part.is_none_or(|(part, of)| worker.serial % of == part)
     }
 }
 
@@ -148,13 +140,12 @@
     entries: BTreeMap<Key, Entry>,
     /// The lines that are not completed.
     pending: BTreeSet<Key>,
-    /// Parts of the fleet; 0 where one table serves all.
-    parts: u16,
+    /// Parts of the fleet, 0 where one table serves all; and the proxies dealt to them so far.
+    parts: usize,
+    dealt: usize,
     /// The mean of the weights listed.
     average: f64,
     judged: Ms,
-    /// Part of its weight that a zone behind a bad path keeps, and since when.
-    paths: BTreeMap<ZoneId, (f64, Ms)>,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
@@ -204,7 +195,6 @@
             self.weigh();
             self.ration();
             self.split();
-            self.deal();
             self.plan();
         }
         self.settle();
@@ -272,9 +262,9 @@
 
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, listed: Listed) {
-        let (now, samples) = (self.now, VecDeque::new());
-        let (weighed, part) = (f64::NEG_INFINITY, None);
-        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part };
+        let (now, samples, serial) = (self.now, VecDeque::new(), self.workers.len());
+        let (factor, weighed) = (1.0, f64::NEG_INFINITY);
+        let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, serial };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -343,14 +333,11 @@
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
         let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
-        let far = self.paths(settled, lost);
-        let dear =
-            |w: &Worker, met: &Sample| (met.took + met.bad * lost) / far.get(&w.listed.zone).unwrap_or(&1.0);
-        let met = self.workers.values().map(|w| (w, self.evidence(w, now - 2.0 * settled)));
-        let peers: Vec<(&Worker, Sample)> = met.collect();
-        let tries: f64 = peers.iter().map(|(_, met)| met.tries).sum();
-        let cost = peers.iter().map(|(worker, met)| dear(worker, met)).sum::<f64>() / tries;
-        let busy = mean(peers.iter().filter_map(|(_, met)| met.busy));
+        let peers = self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled));
+        let peers: Vec<Sample> = peers.collect();
+        let tries: f64 = peers.iter().map(|met| met.tries).sum();
+        let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
+        let busy = mean(peers.iter().filter_map(|met| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
@@ -362,7 +349,7 @@
             if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period {
                 continue;
             }
-            let mut ratio = dear(worker, &own) / n / cost;
+            let mut ratio = (own.took + own.bad * lost) / n / cost;
             if let (Some(own), Some(busy)) = (own.busy, busy) {
                 ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
@@ -387,59 +374,25 @@
         }
     }
 
-    /// A zone most of whose workers cost these proxies more than the other zones' do is behind a bad path, not
-    /// full of sick workers: its lines lose weight together and at once, and each is judged against its own
-    /// zone. Returns how many times the others' cost each far zone's is.
-    fn paths(&mut self, settled: Ms, lost: Ms) -> BTreeMap<ZoneId, f64> {
-        let mut far = BTreeMap::new();
-        for zone in self.start.zones.clone() {
-            let (lean, at) = self.paths.get(&zone).copied().unwrap_or((1.0, f64::NEG_INFINITY));
-            let since = (at + settled).max(self.now - 2.0 * settled);
-            let met = self.workers.values().map(|w| (w.listed.zone == zone, self.evidence(w, since)));
-            let met = met.filter(|(_, met)| met.tries > 0.0);
-            let cost = met.map(|(here, met)| (here, (met.took + met.bad * lost) / met.tries));
-            let (here, others): (Vec<_>, Vec<_>) = cost.partition(|(here, _)| *here);
-            if (here.len().min(others.len()) as f64) < LEAST_PART {
-                continue;
-            }
-            let ratio = ranked(here.iter().map(|(_, cost)| *cost).collect(), 0.25)
-                / ranked(others.iter().map(|(_, cost)| *cost).collect(), 0.5).max(1.0);
-            if ratio > FAR {
-                far.insert(zone, ratio);
-            }
-            if self.now >= at + settled && (ratio > FAR || lean < 1.0 && ratio < DEADBAND) {
-                let next = if ratio > FAR { lean / ratio } else { lean * 2.0 };
-                self.paths.insert(zone, (next.clamp(LEAST_LEAN, 1.0), self.now));
-                let text = format!("a zone to {next:.2} of its weight: {ratio:.2} of the others' cost");
-                self.orders.push(Order::Log { about: None, text });
-            }
-        }
-        far
-    }
-
     /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
     /// middle worker's lost tries and mean answer tell, one worker's trouble being no overload; sooner, how
     /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
     fn bears(&self, since: Ms) -> Option<f64> {
-        // What comes by a bad path tells nothing of load.
-        let near =
-            |worker: &&Worker| self.paths.get(&worker.listed.zone).is_none_or(|(lean, _)| *lean >= 1.0);
-        let met = self.workers.values().filter(near).map(|worker| self.evidence(worker, since));
+        let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
         (met.len() as f64 >= ENOUGH).then_some(())?;
         let objectives = self.start.operations.iter().map(|op| op.latency_objective);
-        let took = ranked(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect(), 0.5);
-        let lost = ranked(met.iter().map(|met| met.bad / met.tries).collect(), 0.5);
+        let took = middle(met.iter().map(|met| met.took / (met.tries - met.bad).max(1.0)).collect());
+        let lost = middle(met.iter().map(|met| met.bad / met.tries).collect());
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let busy = mean(met.iter().filter_map(|met| met.busy));
-        let full = FULL / busy.unwrap_or(0.0).max(0.1);
+        let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
         // Lost answers, a slow path and impatient clients leave the cores idle: no overload, so no shedding.
-        let met = if busy.is_some_and(|busy| busy < IDLE) { SHED.1 } else { SHED.1 * (1.0 - lost).powi(2) };
-        let met = if busy.is_some_and(|busy| busy < IDLE) { met } else { met.min(late) };
-        let bears = met.min(full * full).clamp(SHED.0, SHED.1);
-        Some(bears.powf(tries / (tries + ENOUGH * ENOUGH)))
+        let idle = busy.is_some_and(|busy| busy < FULL.1);
+        let met = if idle { SHED.1 } else { late.min(SHED.1 * (1.0 - lost).powi(2)) };
+        Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
     /// Lets less in while the fleet bears less, and more again once that is over.
@@ -471,80 +424,48 @@
         }
     }
 
-    /// The proxies of this manager: its share of all, or those joined if there are more.
-    fn expected(&self) -> f64 {
-        (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
-    }
-
     /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
     /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
-        let here =
-            |t: &Table| self.workers.values().filter(|w| w.listed.phase != Phase::Gone && t.open(w)).count();
-        let read =
-            self.tables.iter().filter(|t| t.near.is_none_or(|near| Some(&near) == self.start.zones.first()));
-        let lines: Vec<usize> = read.map(here).collect();
-        let round = lines.iter().sum::<usize>() as f64;
-        let paid =
-            self.start.lines_waiting_most * TOPPED.0 / self.expected() - self.start.message_overhead - 1.0;
-        let parts = (round / paid.max(LEAST_PART * lines.len() as f64).max(1.0)) as u16;
-        if self.parts > 0 || parts < 2 || round <= paid {
+        let present = || self.workers.values().filter(|worker| worker.listed.phase != Phase::Gone);
+        let read = |t: &&Table| t.near.is_none_or(|near| Some(&near) == self.start.zones.first());
+        let lines = self.tables.iter().filter(read).map(|t| present().filter(|w| t.open(w)).count());
+        let (kinds, round) = lines.fold((0.0, 0.0), |sum, lines| (sum.0 + 1.0, sum.1 + lines as f64));
+        let paid = self.start.lines_waiting_most * TOPPED.0 / self.expected() - self.start.message_overhead;
+        let parts = (round / paid.max(LEAST_PART * kinds).max(1.0)) as usize;
+        if self.parts > 0 || parts < 2 || round < paid {
             return;
         }
         self.parts = parts;
         for part in 0..parts {
             let first = self.tables.len() as u16;
-            let whole = tables(&self.start).into_iter();
-            self.tables.extend(whole.map(|t| Table { id: TableId(first + t.id.0), part: Some(part), ..t }));
+            let lay = |t: Table| Table { id: TableId(first + t.id.0), part: Some((part, parts)), ..t };
+            self.tables.extend(tables(&self.start).into_iter().map(lay));
         }
         self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
-        let text =
-            format!("{parts} parts: a round is {round} lines for each proxy, {paid:.0} can be paid for");
-        self.orders.push(Order::Log { about: None, text });
-    }
-
-    /// Deals workers and proxies that are new to the parts, even in weight and load, each zone's in turn. They
-    /// stay, so that nothing else moves when others come and go. A proxy that would fill half a part has the
-    /// whole fleet.
-    fn deal(&mut self) {
-        let (mut weights, mut loads) = (vec![0.0; self.parts.into()], vec![0.0; self.parts.into()]);
-        let mut fresh: Vec<(ZoneId, WorkerId, f64)> = Vec::new();
-        for (id, worker) in self.workers.iter().filter(|(_, w)| w.listed.phase != Phase::Gone) {
-            match worker.part {
-                Some(part) => weights[usize::from(part)] += self.weight(&worker.listed),
-                None => fresh.push((worker.listed.zone, *id, self.weight(&worker.listed))),
-            }
-        }
-        // Each manager draws parts of its own.
-        self.rng.shuffle(if self.parts > 0 { &mut fresh } else { &mut [] });
-        fresh.sort_by_key(|(zone, ..)| *zone);
-        for (_, id, weight) in fresh {
-            self.workers.get_mut(&id).expect("a known worker").part = least(&mut weights, weight);
-        }
-        let ops = 0..self.start.operations.len();
-        let came = |proxy: &Proxy| ops.clone().map(|op| self.demand(proxy, op)).sum::<f64>();
-        let mut fresh: Vec<(f64, ProxyId)> = Vec::new();
-        for (id, proxy) in self.proxies.iter().filter(|_| self.parts > 0) {
-            match proxy.part {
-                Some(part) => loads[usize::from(part)] += came(proxy),
-                None if !proxy.dealt => fresh.push((came(proxy), *id)),
-                None => {}
-            }
-        }
-        let each =
-            mean(self.proxies.values().map(came)).unwrap_or(0.0) * self.expected() / f64::from(self.parts);
-        fresh.sort_by(|a, b| b.partial_cmp(a).expect("rates are numbers"));
-        for (rate, id) in fresh {
-            let part = if rate <= each / 2.0 { least(&mut loads, rate) } else { None };
-            let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
-            (proxy.part, proxy.dealt) = (part, true);
+    }
+
+    /// The proxies of this manager: its share of all, or those joined if there are more.
+    fn expected(&self) -> f64 {
+        (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
+    }
+
+    /// Deals a proxy to the next part: they come by rate, so parts are even. It stays there, so that nothing
+    /// moves when others come and go. One that would fill half a part has the whole fleet.
+    fn deal(&mut self, id: ProxyId) {
+        let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
+        let part = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64;
+        let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
+        if self.parts > 0 && proxy.inv_per_second <= part / 2.0 {
+            proxy.part = Some(self.dealt % self.parts);
+            self.dealt += 1;
         }
     }
 
     /// The tables meant for a proxy, by their places.
     fn meant(&self, proxy: &Proxy) -> impl Iterator<Item = &Table> {
-        let kinds = self.tables.len() / (usize::from(self.parts) + 1);
-        let first = proxy.part.map_or(0, |part| usize::from(part) + 1) * kinds;
+        let kinds = self.tables.len() / (self.parts + 1);
+        let first = proxy.part.map_or(0, |part| part + 1) * kinds;
         let zone = proxy.zone;
         self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
     }
@@ -585,8 +506,7 @@
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
-        let lean = self.paths.get(&worker.listed.zone).map_or(1.0, |(lean, _)| *lean);
-        ready * self.weight(&worker.listed) * worker.factor * lean * self.warmth(&worker.listed)
+        ready * self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
@@ -601,25 +521,29 @@
                     self.ops(table).map(|op| self.demand(proxy, op)).sum::<f64>();
             }
         }
-        // Narrower ones first: parts before the whole, operations open to some before those open to all.
-        let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
+        let usable = self.workers.values().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
+        let each = came.iter().sum::<f64>() / usable;
+        let mut room: Vec<f64> = self.workers.values().map(|worker| each * self.usable(worker)).collect();
+        // Narrower ones first: parts before the whole, operations open to some before those open to all; and
+        // zones with little to bring before those that overflow.
+        let brings = |t: &Table| came[usize::from(t.id.0)];
+        let open = |t: &Table| self.workers.values().filter(|worker| t.open(worker)).count();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_cached_key(|t| (self.workers.values().filter(|w| t.open(w)).count(), t.ops, t.part));
-        for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.own) {
-            let workers: Vec<&Worker> =
-                self.workers.values().filter(|worker| group[0].open(worker)).collect();
-            let spared = self.spared(&workers);
-            let came: Vec<f64> = group.iter().map(|table| came[usize::from(table.id.0)]).collect();
-            let leans = self.leans(group, &workers, &came, &mut carried);
-            for (table, leans) in group.iter().zip(leans) {
-                for (worker, lean) in workers.iter().zip(leans) {
-                    let spared = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
-                    let weight = self.usable(worker) * lean * spared;
-                    wanted.push((Key::Line(table.id, worker.listed.worker), (weight * 1e3).round() / 1e3));
-                }
-                let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
-                wanted.extend(self.ops(table).map(level));
+        tables.sort_by_cached_key(|t| (open(t), t.ops, t.part, (brings(t) * 1e3) as u64));
+        for table in tables {
+            let taken = self.take(table, brings(table), &mut room);
+            let open = || self.workers.values().zip(&taken).filter(|(worker, _)| table.open(worker));
+            let usable = open().map(|(worker, _)| self.usable(worker)).sum::<f64>().max(1e-9);
+            let spared = self.spared(table, usable);
+            for (worker, taken) in open() {
+                let even = brings(table) * self.usable(worker) / usable;
+                let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
+                let cold = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
+                let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
+                wanted.push((Key::Line(table.id, worker.listed.worker), weight));
             }
+            let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
+            wanted.extend(self.ops(table).map(level));
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
         // Tables with a line in force that stays and may be picked.
@@ -629,18 +553,36 @@
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
+    /// What a table's demand takes of each worker's room: it leans away from the workers that narrower ones
+    /// load and, where crossing zones is dear, toward its proxies' own as far as those have room.
+    fn take(&self, table: &Table, came: f64, room: &mut [f64]) -> Vec<f64> {
+        let (mut left, mut taken) = (came, vec![0.0; room.len()]);
+        for near in [true, false] {
+            let at =
+                |w: &Worker| table.open(w) && (!near || table.near.is_none_or(|zone| zone == w.listed.zone));
+            let places = self.workers.values().enumerate().filter(|(_, worker)| at(worker));
+            let places: Vec<usize> = places.map(|(place, _)| place).collect();
+            let free = places.iter().map(|place| room[*place]).sum::<f64>();
+            let part = (left / free.max(1e-9)).min(1.0);
+            left -= free * part;
+            for place in places {
+                taken[place] += room[place] * part;
+                room[place] *= 1.0 - part;
+            }
+        }
+        taken
+    }
+
     /// What of its weight a cold worker gets: less as others cannot take theirs, which moves onto the cold, and
     /// nothing while the fleet is strained and mostly warm, as all that the others lose is brought to whoever
     /// has just come.
-    fn spared(&self, workers: &[&Worker]) -> f64 {
-        let weight = |part: &dyn Fn(&Worker) -> bool| {
-            workers.iter().filter(|w| part(w)).map(|w| self.weight(&w.listed)).sum::<f64>()
-        };
-        let all = weight(&|w| w.listed.phase != Phase::Gone);
-        let warm = weight(&|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
-        let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>();
+    fn spared(&self, table: &Table, usable: f64) -> f64 {
+        let open = || self.workers.values().filter(|w| table.open(w) && w.listed.phase != Phase::Gone);
+        let all = open().map(|worker| self.weight(&worker.listed)).sum::<f64>().max(1e-9);
+        let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
+        let warm = warm.map(|worker| self.weight(&worker.listed)).sum::<f64>();
         let multiple = self.start.overload_factor;
-        let spared = (multiple / 4.0).min(1.0) * (usable / all.max(1e-9) * multiple / 2.0).min(1.0);
+        let spared = (multiple / 4.0).min(1.0) * (usable / all * multiple / 2.0).min(1.0);
         if self.strained && 2.0 * warm > all {
             0.0
         } else {
@@ -648,45 +590,6 @@
         }
     }
 
-    /// An operation open to all leans away from the workers that narrower ones already load; and where
-    /// crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
-    fn leans(
-        &self,
-        group: &[&Table],
-        workers: &[&Worker],
-        came: &[f64],
-        carried: &mut BTreeMap<WorkerId, f64>,
-    ) -> Vec<Vec<f64>> {
-        let usable: Vec<f64> = workers.iter().map(|worker| self.usable(worker)).collect();
-        let all = usable.iter().sum::<f64>().max(1e-9);
-        let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
-        let each = (came.iter().sum::<f64>() + already) / all;
-        let mut room: Vec<f64> = Vec::new();
-        for (worker, usable) in workers.iter().zip(&usable) {
-            let before = carried.insert(worker.listed.worker, each * usable).unwrap_or(0.0);
-            room.push((each * usable - before).max(each * usable * LEAST_LEAN));
-        }
-        let mut taken = vec![vec![0.0; workers.len()]; group.len()];
-        for near in [true, false] {
-            for (place, table) in group.iter().enumerate() {
-                let at = |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
-                let here: Vec<usize> = (0..workers.len()).filter(at).collect();
-                let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
-                let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
-                for w in here {
-                    taken[place][w] += room[w] * part;
-                    room[w] *= 1.0 - part;
-                }
-            }
-        }
-        let lean =
-            |taken: f64, even: f64| if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
-        let of = |(taken, came): (Vec<f64>, &f64)| {
-            taken.iter().zip(&usable).map(|(taken, usable)| lean(*taken, came * usable / all)).collect()
-        };
-        taken.into_iter().zip(came).map(of).collect()
-    }
-
     /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
     /// counts as unapplied. Returns whether anything is to be sent for it now.
     fn want(&mut self, key: Key, value: f64) -> bool {
@@ -799,9 +702,9 @@
         let (now, most, waiting) = (self.now, self.start.lines_waiting_most, self.waiting());
         let head = self.start.message_overhead + 1.0;
         let reserve = (self.proxies.len() as f64 * (head + 1.0)).min(most * TOPPED.0 / 4.0);
-        let paced = self.start.messages_over / (self.start.messages_most * ORDINARY_MESSAGES);
+        let paced = self.start.messages_over / (self.start.messages_most * ORDINARY.0);
         // In parts, heads would take most of the channel: ordinary changes gather longer.
-        let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * HEADS);
+        let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * ORDINARY.1);
         let gap = paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads } else { 0.0 });
         let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
         let (mut drains, mut changes) = (Vec::new(), Vec::new());
@@ -812,7 +715,9 @@
                 if ready || overdue {
                     drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
-            } else if ready && (now >= self.changed + gap || self.unread(*key)) {
+            } else if ready
+                && (now >= self.changed + gap || self.readers(*key).is_some_and(BTreeSet::is_empty))
+            {
                 changes.push(((entry.wanted - entry.sent).abs(), *key));
             }
         }
@@ -824,6 +729,9 @@
         let mut unbound: Vec<(f64, ProxyId)> = unbound.map(|(id, p)| (p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, id) in unbound {
+            if self.proxies[&id].part.is_none() {
+                self.deal(id);
+            }
             // One that could never fit goes alone, into a channel that is empty.
             let alone = waiting == 0.0 && self.message.lines.is_empty();
             if !self.bind(id, if alone { most * TOPPED.1 } else { room }) {
@@ -833,7 +741,9 @@
         changes.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, key) in changes {
             // What nobody reads costs nothing and must not hold up what is read.
-            if (self.message.total < room || self.unread(key)) && self.add(key, room, ORDINARY_MESSAGES) {
+            if (self.message.total < room || self.readers(key).is_some_and(BTreeSet::is_empty))
+                && self.add(key, room, ORDINARY.0)
+            {
                 self.changed = now;
             }
         }
@@ -911,24 +821,19 @@
         true
     }
 
-    fn unread(&self, key: Key) -> bool {
+    fn readers(&self, key: Key) -> Option<&BTreeSet<ProxyId>> {
         match key {
-            Key::Line(of, _) | Key::Level(of, _) => self.tables[usize::from(of.0)].readers.is_empty(),
-            Key::Hold(_) => self.proxies.is_empty(),
+            Key::Line(of, _) | Key::Level(of, _) => Some(&self.tables[usize::from(of.0)].readers),
+            Key::Hold(_) => None,
         }
     }
 
     /// The proxies that a change of this line is written to; a hold also to those that hold others' tables.
     fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
-        match key {
-            Key::Line(of, _) | Key::Level(of, _) => self.tables[usize::from(of.0)].readers.clone(),
-            Key::Hold(id) => {
-                let sent =
-                    |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
-                let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
-                bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
-            }
-        }
+        let Key::Hold(id) = key else { return self.readers(key).cloned().unwrap_or_default() };
+        let sent = |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
+        let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
+        bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
     }
 }
 
@@ -936,30 +841,20 @@
 fn tables(start: &Start) -> Vec<Table> {
     let mut tables: Vec<Table> = Vec::new();
     for (place, op) in start.operations.iter().enumerate().take(if start.slices > 0 { 0 } else { 32 }) {
-        let (own, apart) = (op.own_zone, op.own_zone || start.crossing_price > start.channel_price);
+        let apart = op.own_zone || start.crossing_price > start.channel_price;
         for near in if apart { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
-            let (zones, machines) = (op.zones.clone(), op.machines.clone());
-            let same =
-                |t: &&mut Table| (t.near, t.own) == (near, own) && t.zones == zones && t.machines == machines;
-            if let Some(table) = tables.iter_mut().find(same) {
+            let of = |op: &Operation| (op.zones.clone(), op.machines.clone(), op.own_zone);
+            if let Some(table) = tables.iter_mut().find(|t| t.near == near && of(&t.open) == of(op)) {
                 table.ops |= 1 << place;
             } else {
-                let id = TableId(tables.len() as u16);
-                let (part, readers) = (None, BTreeSet::new());
-                tables.push(Table { id, ops: 1 << place, zones, machines, near, own, part, readers });
+                let (id, open) = (TableId(tables.len() as u16), op.clone());
+                tables.push(Table { id, ops: 1 << place, open, near, part: None, readers: BTreeSet::new() });
             }
         }
     }
     tables
 }
 
-/// The place that has least so far, which gets this more; none where there are no places.
-fn least(dealt: &mut [f64], more: f64) -> Option<u16> {
-    let place = (0..dealt.len()).min_by(|a, b| dealt[*a].total_cmp(&dealt[*b]))?;
-    dealt[place] += more;
-    Some(place as u16)
-}
-
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     (count > 0.0).then(|| sum / count)
@@ -970,8 +865,7 @@
     STEP.powf((value.ln() / STEP.ln()).round())
 }
 
-/// The value that this part of them stay below.
-fn ranked(mut values: Vec<f64>, part: f64) -> f64 {
+fn middle(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
-    values[(values.len() as f64 * part) as usize]
+    values[values.len() / 2]
 }
