--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,9 +140,9 @@
     entries: BTreeMap<Key, Entry>,
     /// The lines that are not completed.
     pending: BTreeSet<Key>,
-    /// Parts of the fleet, 0 where one table serves all; and the proxies dealt to them so far.
+    /// Parts of the fleet, 0 where one table serves all; and what comes to the proxies dealt to each.
     parts: usize,
-    dealt: usize,
+    loads: Vec<f64>,
     /// The mean of the weights listed.
     average: f64,
     judged: Ms,
@@ -219,8 +219,10 @@
                 let known = self.workers.iter().filter(|_| *kind != ListKind::Changes);
                 let absent = known.filter(|(id, _)| !listed.contains(id));
                 let gone = absent.map(|(_, w)| Listed { phase: Phase::Gone, ..w.listed.clone() });
-                let gone: Vec<Listed> = gone.collect();
-                gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
+                let mut news: Vec<Listed> = gone.chain(workers.iter().cloned()).collect();
+                // Counted out to the parts in this order, each zone and machine is spread over all of them.
+                news.sort_by_key(|listed| (listed.zone, listed.machine));
+                news.into_iter().for_each(|listed| self.list(listed));
                 let weights = self.workers.values().map(|worker| worker.listed.weight);
                 self.average = mean(weights.filter(|weight| *weight > 0.0)).unwrap_or(1.0);
             }
@@ -278,7 +280,10 @@
     /// A broken stream ends the proxy's binds: lines that only it still owed an answer for become idle as
     /// they settle, the others its next bind carries.
     fn left(&mut self, id: ProxyId) {
-        self.proxies.remove(&id);
+        let Some(proxy) = self.proxies.remove(&id) else { return };
+        if let Some(part) = proxy.part {
+            self.loads[part] -= proxy.inv_per_second;
+        }
         self.tables.iter_mut().for_each(|table| _ = table.readers.remove(&id));
     }
 
@@ -436,7 +441,7 @@
         if self.parts > 0 || parts < 2 || round < paid {
             return;
         }
-        self.parts = parts;
+        (self.parts, self.loads) = (parts, vec![0.0; parts]);
         for part in 0..parts {
             let first = self.tables.len() as u16;
             let lay = |t: Table| Table { id: TableId(first + t.id.0), part: Some((part, parts)), ..t };
@@ -450,15 +455,16 @@
         (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
     }
 
-    /// Deals a proxy to the next part: they come by rate, so parts are even. It stays there, so that nothing
-    /// moves when others come and go. One that would fill half a part has the whole fleet.
+    /// Deals a proxy to the part with the least to bear. It stays there, so that nothing moves when others
+    /// come and go. One that would fill half a part has the whole fleet.
     fn deal(&mut self, id: ProxyId) {
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
         let part = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64;
         let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
-        if self.parts > 0 && proxy.inv_per_second <= part / 2.0 {
-            proxy.part = Some(self.dealt % self.parts);
-            self.dealt += 1;
+        let least = (0..self.parts).min_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
+        proxy.part = least.filter(|_| proxy.inv_per_second <= part / 2.0);
+        if let Some(part) = proxy.part {
+            self.loads[part] += proxy.inv_per_second;
         }
     }
 
@@ -521,29 +527,25 @@
                     self.ops(table).map(|op| self.demand(proxy, op)).sum::<f64>();
             }
         }
-        let usable = self.workers.values().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-        let each = came.iter().sum::<f64>() / usable;
-        let mut room: Vec<f64> = self.workers.values().map(|worker| each * self.usable(worker)).collect();
-        // Narrower ones first: parts before the whole, operations open to some before those open to all; and
-        // zones with little to bring before those that overflow.
-        let brings = |t: &Table| came[usize::from(t.id.0)];
-        let open = |t: &Table| self.workers.values().filter(|worker| t.open(worker)).count();
+        let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_cached_key(|t| (open(t), t.ops, t.part, (brings(t) * 1e3) as u64));
-        for table in tables {
-            let taken = self.take(table, brings(table), &mut room);
-            let open = || self.workers.values().zip(&taken).filter(|(worker, _)| table.open(worker));
-            let usable = open().map(|(worker, _)| self.usable(worker)).sum::<f64>().max(1e-9);
-            let spared = self.spared(table, usable);
-            for (worker, taken) in open() {
-                let even = brings(table) * self.usable(worker) / usable;
-                let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
-                let cold = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
-                let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
-                wanted.push((Key::Line(table.id, worker.listed.worker), weight));
+        tables.sort_by_cached_key(|t| (self.workers.values().filter(|w| t.open(w)).count(), t.ops, t.part));
+        for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.open.own_zone) {
+            let workers: Vec<&Worker> =
+                self.workers.values().filter(|worker| group[0].open(worker)).collect();
+            let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
+            let spared = self.spared(group[0], usable);
+            let came: Vec<f64> = group.iter().map(|table| came[usize::from(table.id.0)]).collect();
+            let leans = self.leans(group, &workers, &came, &mut carried);
+            for (table, leans) in group.iter().zip(leans) {
+                for (worker, lean) in workers.iter().zip(leans) {
+                    let spared = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
+                    let weight = self.usable(worker) * lean * spared;
+                    wanted.push((Key::Line(table.id, worker.listed.worker), (weight * 1e3).round() / 1e3));
+                }
+                let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
+                wanted.extend(self.ops(table).map(level));
             }
-            let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
-            wanted.extend(self.ops(table).map(level));
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
         // Tables with a line in force that stays and may be picked.
@@ -553,24 +555,43 @@
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
-    /// What a table's demand takes of each worker's room: it leans away from the workers that narrower ones
-    /// load and, where crossing zones is dear, toward its proxies' own as far as those have room.
-    fn take(&self, table: &Table, came: f64, room: &mut [f64]) -> Vec<f64> {
-        let (mut left, mut taken) = (came, vec![0.0; room.len()]);
+    /// An operation open to all leans away from the workers that narrower ones already load; and where
+    /// crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
+    fn leans(
+        &self,
+        group: &[&Table],
+        workers: &[&Worker],
+        came: &[f64],
+        carried: &mut BTreeMap<WorkerId, f64>,
+    ) -> Vec<Vec<f64>> {
+        let usable: Vec<f64> = workers.iter().map(|worker| self.usable(worker)).collect();
+        let all = usable.iter().sum::<f64>().max(1e-9);
+        let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
+        let each = (came.iter().sum::<f64>() + already) / all;
+        let mut room: Vec<f64> = Vec::new();
+        for (worker, usable) in workers.iter().zip(&usable) {
+            let before = carried.insert(worker.listed.worker, each * usable).unwrap_or(0.0);
+            room.push((each * usable - before).max(each * usable * LEAST_LEAN));
+        }
+        let mut taken = vec![vec![0.0; workers.len()]; group.len()];
         for near in [true, false] {
-            let at =
-                |w: &Worker| table.open(w) && (!near || table.near.is_none_or(|zone| zone == w.listed.zone));
-            let places = self.workers.values().enumerate().filter(|(_, worker)| at(worker));
-            let places: Vec<usize> = places.map(|(place, _)| place).collect();
-            let free = places.iter().map(|place| room[*place]).sum::<f64>();
-            let part = (left / free.max(1e-9)).min(1.0);
-            left -= free * part;
-            for place in places {
-                taken[place] += room[place] * part;
-                room[place] *= 1.0 - part;
+            for (place, table) in group.iter().enumerate() {
+                let at = |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
+                let here: Vec<usize> = (0..workers.len()).filter(at).collect();
+                let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
+                let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
+                for w in here {
+                    taken[place][w] += room[w] * part;
+                    room[w] *= 1.0 - part;
+                }
             }
         }
-        taken
+        let lean =
+            |taken: f64, even: f64| if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
+        let of = |(taken, came): (Vec<f64>, &f64)| {
+            taken.iter().zip(&usable).map(|(taken, usable)| lean(*taken, came * usable / all)).collect()
+        };
+        taken.into_iter().zip(came).map(of).collect()
     }
 
     /// What of its weight a cold worker gets: less as others cannot take theirs, which moves onto the cold, and
