--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -76,8 +76,6 @@
     pub warm_up: Ms,
     pub cold_share: f64,
     pub overload_factor: f64,
-    /// Load shows in probes only, and probes are allowed.
-    pub load_by_probe: bool,
     /// All proxies, and the managers that they join.
     pub proxies: f64,
     pub managers: f64,
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -94,8 +94,6 @@
         warm_up: number(&info, "rules.warm-up-ms")?,
         cold_share: number(&info, "rules.cold-share")?,
         overload_factor: number(&info, "rules.overload-factor")?,
-        load_by_probe: text(&info, "report.via")? == "probe"
-            && at(&info, "allowed.probing").as_bool().unwrap_or(false),
         proxies: number(&info, "domain.proxy-count")?,
         managers: number(&info, "n-instances")?,
         list_asked: text(&info, "registry-mode")? == "ask",
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,9 +18,8 @@
 const ORDINARY: (f64, f64) = (0.6, 0.2);
 /// Part of the drain grace after which a removal waits for no answer any more.
 const PATIENCE: f64 = 0.4;
-/// Least workers of a part; probes for each invocation; steps of a cold worker's ramp.
+/// Least workers of a part, and the steps of a cold worker's ramp.
 const LEAST_PART: f64 = 16.0;
-const PROBED: f64 = 0.05;
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
 const KEPT: (usize, usize) = (12, 3);
@@ -33,16 +32,16 @@
 /// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
-/// Mean answer, in latency objectives, and busyness that the part let in is steered to, and busyness that is no
-/// strain; bounds of a step, of those too small, and of what keeps the cold out; the least let in.
+/// Mean answer, in latency objectives, and busyness that the part let in is steered to, and that is no strain;
+/// bounds of a step, of those too small, and of what keeps the cold out; the least let in, the most it rises.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: (f64, f64) = (0.85, 0.7);
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
-/// Quick return to the last jam; the multiple by which leans and levels differ; the level that is none.
-const NEAR: f64 = 0.8;
+const RETURN: f64 = 1.2;
+/// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -66,15 +65,6 @@
     state: State,
 }
 
-/// The lines of one reply's messages that no answer has proven to have left the channel.
-#[derive(Default)]
-struct Block {
-    mark: u64,
-    at: Ms,
-    lines: BTreeMap<ProxyId, f64>,
-    total: f64,
-}
-
 /// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
 struct Sample {
     at: Ms,
@@ -121,6 +111,11 @@
 }
 
 impl Table {
+    fn ops(&self) -> impl Iterator<Item = usize> {
+        let ops = self.ops;
+        (0..32).filter(move |place| ops >> place & 1 == 1)
+    }
+
     fn open(&self, worker: &Worker) -> bool {
         self.open.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
             && self.open.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
@@ -143,21 +138,19 @@
     /// Parts of the fleet, 0 where one table serves all; and what comes to the proxies dealt to each.
     parts: usize,
     loads: Vec<f64>,
-    /// The mean of the weights listed.
-    average: f64,
-    judged: Ms,
     /// What is answered before what is sent, and when an update asked for it.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
-    blocks: Vec<Block>,
-    /// This reply's messages.
-    message: Block,
+    /// Lines by mark and proxy that no answer has proven to have left the channel, and the time of the last
+    /// such proof; this reply's messages and their lines in all.
+    waits: BTreeMap<(u64, ProxyId), f64>,
+    proven: Ms,
+    message: BTreeMap<ProxyId, f64>,
+    adding: f64,
     changed: Ms,
     /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
     let_in_at: Ms,
-    jammed_at: f64,
-    rising: bool,
     strained: bool,
     wake: bool,
     ask_at: Option<Ms>,
@@ -171,8 +164,6 @@
             now,
             tables: tables(&start),
             let_in: 1.0,
-            jammed_at: 1.0,
-            average: 1.0,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             start,
@@ -185,13 +176,8 @@
         self.now = now;
         let beat = (self.start.report_period / 8.0).max(20.0);
         events.iter().for_each(|event| self.hear(event));
-        let due = now >= self.judged + beat;
-        if due {
-            self.judged = now;
-            self.probe(beat);
-        }
         // Answers alone change no judgement, and at size they come by the hundred.
-        if due || events.iter().any(|event| !matches!(event, Event::Answered { .. } | Event::Woken { .. })) {
+        if events.is_empty() || events.iter().any(|event| !matches!(event, Event::Answered { .. })) {
             self.weigh();
             self.ration();
             self.split();
@@ -223,8 +209,6 @@
                 // Counted out to the parts in this order, each zone and machine is spread over all of them.
                 news.sort_by_key(|listed| (listed.zone, listed.machine));
                 news.into_iter().for_each(|listed| self.list(listed));
-                let weights = self.workers.values().map(|worker| worker.listed.weight);
-                self.average = mean(weights.filter(|weight| *weight > 0.0)).unwrap_or(1.0);
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
@@ -242,28 +226,21 @@
                 }
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
-                let (tries, bad, took) = (*tries, *bad, (tries - bad) * mean);
-                self.met(*worker, Sample { at: self.now, tries, bad, took, busy: load.busy });
-            }
-            Event::Probed { worker, ending, load, .. } => {
-                // One that finds no time to answer is busy.
-                let full = matches!(ending, Ending::Late | Ending::TurnedAway);
-                let busy = if full { Some(1.0) } else { load.busy };
-                self.met(*worker, Sample { at: self.now, tries: 0.0, bad: 0.0, took: 0.0, busy });
+                if let Some(known) = self.workers.get_mut(worker) {
+                    let (tries, bad, took) = (*tries, *bad, (tries - bad) * mean);
+                    known.samples.push_front(Sample { at: self.now, tries, bad, took, busy: load.busy });
+                    known.samples.truncate(KEPT.0);
+                }
             }
             _ => {}
         }
     }
 
-    fn met(&mut self, worker: WorkerId, sample: Sample) {
-        if let Some(known) = self.workers.get_mut(&worker) {
-            known.samples.push_front(sample);
-            known.samples.truncate(KEPT.0);
-        }
-    }
-
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
-    fn list(&mut self, listed: Listed) {
+    fn list(&mut self, mut listed: Listed) {
+        if listed.weight <= 0.0 {
+            listed.weight = mean(self.workers.values().map(|worker| worker.listed.weight)).unwrap_or(1.0);
+        }
         let (now, samples, serial) = (self.now, VecDeque::new(), self.workers.len());
         let (factor, weighed) = (1.0, f64::NEG_INFINITY);
         let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, serial };
@@ -292,25 +269,16 @@
         let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(wire.0)) & 0xffff);
         let Some(proxy) = self.proxies.get_mut(&id).filter(|proxy| proxy.answered < mark) else { return };
         proxy.answered = mark;
-        self.blocks.retain_mut(|block| {
-            block.at = self.now;
-            if block.mark == mark {
-                block.total -= block.lines.remove(&id).unwrap_or(0.0);
-            }
-            block.mark >= mark && !block.lines.is_empty()
-        });
+        self.waits = self.waits.split_off(&(mark, ProxyId(0)));
+        self.waits.remove(&(mark, id));
+        self.proven = self.now;
     }
 
     /// Lines that may still wait in the channel. Its pace is not known, so only answers and a very slow
     /// pace count: guards against a channel slowed several times, stalled proxies and lost answers.
     fn waiting(&self) -> f64 {
-        let Some(first) = self.blocks.first() else { return 0.0 };
-        let sent = (self.now - first.at) * self.start.channel_rate * SLOWEST / 1000.0;
-        (self.blocks.iter().map(|block| block.total).sum::<f64>() - sent).max(0.0)
-    }
-
-    fn weight(&self, listed: &Listed) -> f64 {
-        Some(listed.weight).filter(|weight| *weight > 0.0).unwrap_or(self.average)
+        let sent = (self.now - self.proven) * self.start.channel_rate * SLOWEST / 1000.0;
+        (self.waits.values().sum::<f64>() - sent).max(0.0)
     }
 
     /// The least part of its capacity that a worker can have by now, in a few steps.
@@ -344,26 +312,25 @@
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
-        let all: f64 = ready().map(|worker| self.weight(&worker.listed)).sum();
+        let all: f64 = ready().map(|worker| worker.listed.weight).sum();
         let low = ready().filter(|worker| worker.factor < LOW.0);
-        let mut low = low.map(|worker| self.weight(&worker.listed)).sum::<f64>();
-        let mut weighed: Vec<(WorkerId, f64)> = Vec::new();
-        for (&id, worker) in &self.workers {
+        let mut low = low.map(|worker| worker.listed.weight).sum::<f64>();
+        for id in self.workers.keys().copied().collect::<Vec<WorkerId>>() {
+            let worker = &self.workers[&id];
             let own = self.evidence(worker, worker.weighed + settled);
             let n = own.tries;
-            if n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period {
-                continue;
-            }
             let mut ratio = (own.took + own.bad * lost) / n / cost;
             if let (Some(own), Some(busy)) = (own.busy, busy) {
                 ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
-            if ratio > 1.0 / DEADBAND && ratio < DEADBAND {
+            let early =
+                n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period;
+            if early || ratio > 1.0 / DEADBAND && ratio < DEADBAND {
                 continue;
             }
             let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(STEPS.0, STEPS.1);
             let most = if self.warmth(&worker.listed) < 1.0 { 1.0 } else { FACTORS.1 };
-            let (fell, weight) = (worker.factor < LOW.0, self.weight(&worker.listed));
+            let (fell, weight) = (worker.factor < LOW.0, worker.listed.weight);
             let least = if fell || low + weight <= all * LOW.1 { FACTORS.0 } else { LOW.0 };
             let factor = (worker.factor * step).clamp(least, most);
             if factor < LOW.0 && !fell {
@@ -371,9 +338,6 @@
                 let text = format!("to {factor:.2} of its weight: cost {ratio:.2} of its peers");
                 self.orders.push(Order::Log { about: Some(id), text });
             }
-            weighed.push((id, factor));
-        }
-        for (id, factor) in weighed {
             let worker = self.workers.get_mut(&id).expect("a known worker");
             (worker.factor, worker.weighed) = (factor, now);
         }
@@ -406,29 +370,15 @@
         let Some(bears) = self.bears(now - settled) else { return };
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
-        let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
-        let next = (self.let_in * step).min(near).clamp(least, 1.0);
+        let next = (self.let_in * step.min(RETURN)).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
-            // Cuts in a row answer one jam: its reports come late.
-            self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
-            (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
+            (self.let_in, self.let_in_at) = (next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
             self.orders.push(Order::Log { about: None, text });
         }
     }
 
-    /// Where load shows in probes only, some workers of a large fleet tell how busy all are.
-    fn probe(&mut self, beat: Ms) {
-        let ready = self.workers.iter().filter(|(_, worker)| worker.listed.phase == Phase::Ready);
-        let ready: Vec<WorkerId> = ready.map(|(id, _)| *id).collect();
-        let came = self.proxies.values().map(|proxy| proxy.inv_per_second).sum::<f64>() * beat / 1000.0;
-        if self.parts > 0 && self.start.load_by_probe && !ready.is_empty() {
-            let asked = (0..(came * PROBED) as usize).map(|_| ready[self.rng.usize(..ready.len())]);
-            self.orders.extend(asked.map(|worker| Order::Probe { worker }));
-        }
-    }
-
     /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
     /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
@@ -459,11 +409,11 @@
     /// come and go. One that would fill half a part has the whole fleet.
     fn deal(&mut self, id: ProxyId) {
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
-        let part = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64;
+        let each = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64;
         let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
         let least = (0..self.parts).min_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
-        proxy.part = least.filter(|_| proxy.inv_per_second <= part / 2.0);
-        if let Some(part) = proxy.part {
+        if let (Some(part), None, true) = (least, proxy.part, proxy.inv_per_second <= each / 2.0) {
+            proxy.part = Some(part);
             self.loads[part] += proxy.inv_per_second;
         }
     }
@@ -476,11 +426,6 @@
         self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
     }
 
-    fn ops(&self, table: &Table) -> impl Iterator<Item = usize> {
-        let ops = table.ops;
-        (0..self.start.operations.len()).filter(move |place| ops >> place & 1 == 1)
-    }
-
     /// Invocations a second of an operation at a proxy, by its reports or, before any, by its announcement.
     fn demand(&self, proxy: &Proxy, op: usize) -> f64 {
         let rates = proxy.demand.get(&OpId(op as u8)).into_iter().flatten();
@@ -512,7 +457,7 @@
     /// The weight that a worker can carry now: listed, by symptom and by warmth.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
-        ready * self.weight(&worker.listed) * worker.factor * self.warmth(&worker.listed)
+        ready * worker.listed.weight * worker.factor * self.warmth(&worker.listed)
     }
 
     /// Works out the wanted value of every line and composes it onto what is pending.
@@ -520,11 +465,11 @@
         let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
         let mut wanted: Vec<(Key, f64)> =
             self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
-        let mut came = vec![0.0; self.tables.len()];
+        let mut came: BTreeMap<TableId, f64> = self.tables.iter().map(|table| (table.id, 0.0)).collect();
         for proxy in self.proxies.values() {
             for table in self.meant(proxy) {
-                came[usize::from(table.id.0)] +=
-                    self.ops(table).map(|op| self.demand(proxy, op)).sum::<f64>();
+                let demand = table.ops().map(|op| self.demand(proxy, op)).sum::<f64>();
+                *came.entry(table.id).or_default() += demand;
             }
         }
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
@@ -534,17 +479,41 @@
             let workers: Vec<&Worker> =
                 self.workers.values().filter(|worker| group[0].open(worker)).collect();
             let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
-            let spared = self.spared(group[0], usable);
-            let came: Vec<f64> = group.iter().map(|table| came[usize::from(table.id.0)]).collect();
-            let leans = self.leans(group, &workers, &came, &mut carried);
-            for (table, leans) in group.iter().zip(leans) {
-                for (worker, lean) in workers.iter().zip(leans) {
-                    let spared = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
-                    let weight = self.usable(worker) * lean * spared;
-                    wanted.push((Key::Line(table.id, worker.listed.worker), (weight * 1e3).round() / 1e3));
+            let spared = self.spared(&workers, usable);
+            // An operation open to all leans away from the workers that narrower ones already load; and where
+            // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
+            let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
+            let each = (group.iter().map(|table| came[&table.id]).sum::<f64>() + already) / usable;
+            let mut room: Vec<f64> = Vec::new();
+            for worker in &workers {
+                let fair = each * self.usable(worker);
+                let before = carried.insert(worker.listed.worker, fair).unwrap_or(0.0);
+                room.push((fair - before).max(fair * LEAST_LEAN));
+            }
+            let mut taken = vec![vec![0.0; workers.len()]; group.len()];
+            for near in [true, false] {
+                for (table, taken) in group.iter().zip(&mut taken) {
+                    let at =
+                        |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
+                    let here: Vec<usize> = (0..workers.len()).filter(at).collect();
+                    let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
+                    let part = ((came[&table.id] - taken.iter().sum::<f64>()) / free).clamp(0.0, 1.0);
+                    for w in here {
+                        taken[w] += room[w] * part;
+                        room[w] *= 1.0 - part;
+                    }
+                }
+            }
+            for (table, taken) in group.iter().zip(taken) {
+                for (worker, taken) in workers.iter().zip(taken) {
+                    let even = came[&table.id] * self.usable(worker) / usable;
+                    let lean = if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
+                    let cold = if self.warmth(&worker.listed) < 1.0 { spared } else { 1.0 };
+                    let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
+                    wanted.push((Key::Line(table.id, worker.listed.worker), weight));
                 }
                 let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
-                wanted.extend(self.ops(table).map(level));
+                wanted.extend(table.ops().map(level));
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
@@ -555,53 +524,14 @@
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
-    /// An operation open to all leans away from the workers that narrower ones already load; and where
-    /// crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
-    fn leans(
-        &self,
-        group: &[&Table],
-        workers: &[&Worker],
-        came: &[f64],
-        carried: &mut BTreeMap<WorkerId, f64>,
-    ) -> Vec<Vec<f64>> {
-        let usable: Vec<f64> = workers.iter().map(|worker| self.usable(worker)).collect();
-        let all = usable.iter().sum::<f64>().max(1e-9);
-        let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
-        let each = (came.iter().sum::<f64>() + already) / all;
-        let mut room: Vec<f64> = Vec::new();
-        for (worker, usable) in workers.iter().zip(&usable) {
-            let before = carried.insert(worker.listed.worker, each * usable).unwrap_or(0.0);
-            room.push((each * usable - before).max(each * usable * LEAST_LEAN));
-        }
-        let mut taken = vec![vec![0.0; workers.len()]; group.len()];
-        for near in [true, false] {
-            for (place, table) in group.iter().enumerate() {
-                let at = |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
-                let here: Vec<usize> = (0..workers.len()).filter(at).collect();
-                let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
-                let part = ((came[place] - taken[place].iter().sum::<f64>()) / free).clamp(0.0, 1.0);
-                for w in here {
-                    taken[place][w] += room[w] * part;
-                    room[w] *= 1.0 - part;
-                }
-            }
-        }
-        let lean =
-            |taken: f64, even: f64| if even > 0.0 { stepped((taken / even).max(LEAST_LEAN)) } else { 1.0 };
-        let of = |(taken, came): (Vec<f64>, &f64)| {
-            taken.iter().zip(&usable).map(|(taken, usable)| lean(*taken, came * usable / all)).collect()
-        };
-        taken.into_iter().zip(came).map(of).collect()
-    }
-
     /// What of its weight a cold worker gets: less as others cannot take theirs, which moves onto the cold, and
     /// nothing while the fleet is strained and mostly warm, as all that the others lose is brought to whoever
     /// has just come.
-    fn spared(&self, table: &Table, usable: f64) -> f64 {
-        let open = || self.workers.values().filter(|w| table.open(w) && w.listed.phase != Phase::Gone);
-        let all = open().map(|worker| self.weight(&worker.listed)).sum::<f64>().max(1e-9);
+    fn spared(&self, workers: &[&Worker], usable: f64) -> f64 {
+        let open = || workers.iter().filter(|worker| worker.listed.phase != Phase::Gone);
+        let all = open().map(|worker| worker.listed.weight).sum::<f64>().max(1e-9);
         let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
-        let warm = warm.map(|worker| self.weight(&worker.listed)).sum::<f64>();
+        let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
         let multiple = self.start.overload_factor;
         let spared = (multiple / 4.0).min(1.0) * (usable / all * multiple / 2.0).min(1.0);
         if self.strained && 2.0 * warm > all {
@@ -640,11 +570,10 @@
             Key::Line(_, id) if removed => self.before(Key::Hold(id), key),
             Key::Line(_, id) if self.held(id) => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
-                let bare =
-                    self.tables.iter().filter(|t| !sound[usize::from(t.id.0)] && t.open(&self.workers[&id]));
-                let lines = bare.flat_map(|table| {
+                let bare = |t: &&Table| !sound[usize::from(t.id.0)] && t.open(&self.workers[&id]);
+                let lines = self.tables.iter().filter(bare).flat_map(|table| {
                     let others =
-                        self.lines(table.id).filter(|(other, entry)| *other != id && entry.wanted > 0.0);
+                        self.lines(table.id).filter(|(other, line)| *other != id && line.wanted > 0.0);
                     others.map(|(other, _)| Key::Line(table.id, other))
                 });
                 lines.collect::<Vec<Key>>().into_iter().for_each(|line| self.before(line, key));
@@ -654,11 +583,8 @@
     }
 
     fn lines(&self, table: TableId) -> impl Iterator<Item = (WorkerId, &Entry)> {
-        let of = Key::Line(table, WorkerId(0))..=Key::Line(table, WorkerId(u32::MAX));
-        self.entries.range(of).filter_map(|(key, entry)| match *key {
-            Key::Line(_, worker) => Some((worker, entry)),
-            _ => None,
-        })
+        let line = move |id: &WorkerId| Some((*id, self.entries.get(&Key::Line(table, *id))?));
+        self.workers.keys().filter_map(line)
     }
 
     /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
@@ -736,9 +662,7 @@
                 if ready || overdue {
                     drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
                 }
-            } else if ready
-                && (now >= self.changed + gap || self.readers(*key).is_some_and(BTreeSet::is_empty))
-            {
+            } else if ready && now >= self.changed + gap {
                 changes.push(((entry.wanted - entry.sent).abs(), *key));
             }
         }
@@ -750,32 +674,28 @@
         let mut unbound: Vec<(f64, ProxyId)> = unbound.map(|(id, p)| (p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, id) in unbound {
-            if self.proxies[&id].part.is_none() {
-                self.deal(id);
-            }
+            self.deal(id);
             // One that could never fit goes alone, into a channel that is empty.
-            let alone = waiting == 0.0 && self.message.lines.is_empty();
+            let alone = waiting == 0.0 && self.message.is_empty();
             if !self.bind(id, if alone { most * TOPPED.1 } else { room }) {
                 break;
             }
         }
         changes.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, key) in changes {
-            // What nobody reads costs nothing and must not hold up what is read.
-            if (self.message.total < room || self.readers(key).is_some_and(BTreeSet::is_empty))
-                && self.add(key, room, ORDINARY.0)
-            {
+            if self.adding < room && self.add(key, room, ORDINARY.0) {
                 self.changed = now;
             }
         }
-        if !self.message.lines.is_empty() {
+        if !self.message.is_empty() {
             self.mark += 1;
+            self.adding = 0.0;
+            self.proven = if self.waits.is_empty() { now } else { self.proven };
             self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
-            for id in self.message.lines.keys() {
-                self.proxies.get_mut(id).expect("a joined proxy").messages.push_back(now);
-            }
-            let message = std::mem::take(&mut self.message);
-            self.blocks.push(Block { mark: self.mark, at: now, ..message });
+        }
+        for (id, lines) in std::mem::take(&mut self.message) {
+            self.proxies.get_mut(&id).expect("a joined proxy").messages.push_back(now);
+            self.waits.insert((self.mark, id), lines);
         }
     }
 
@@ -783,17 +703,17 @@
     fn write(&mut self, to: &BTreeSet<ProxyId>, lines: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
         let head = self.start.message_overhead + 1.0;
-        let new: Vec<&ProxyId> = to.iter().filter(|id| !self.message.lines.contains_key(id)).collect();
+        let new: Vec<&ProxyId> = to.iter().filter(|id| !self.message.contains_key(id)).collect();
         let cost = to.len() as f64 * lines + new.len() as f64 * head;
-        let mut free = self.message.total + cost <= room;
+        let mut free = self.adding + cost <= room;
         for id in new {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
             free &= (sent.len() as f64) < (most * part).floor();
         }
         if free {
-            self.message.total += cost;
-            to.iter().for_each(|id| *self.message.lines.entry(*id).or_insert(head) += lines);
+            self.adding += cost;
+            to.iter().for_each(|id| *self.message.entry(*id).or_insert(head) += lines);
         }
         free
     }
@@ -826,7 +746,7 @@
             let lines = self.lines(table.id).filter(|(_, entry)| entry.sent > 0.0);
             let (held, free): (Vec<_>, Vec<_>) = lines.partition(|(worker, _)| self.held(*worker));
             if !free.is_empty() {
-                cost += (1 + 2 * held.len() + free.len() + self.ops(table).count()) as f64;
+                cost += (1 + 2 * held.len() + free.len() + table.ops().count()) as f64;
                 binds.push((table.id, table.ops));
             }
         }
@@ -842,16 +762,12 @@
         true
     }
 
-    fn readers(&self, key: Key) -> Option<&BTreeSet<ProxyId>> {
-        match key {
-            Key::Line(of, _) | Key::Level(of, _) => Some(&self.tables[usize::from(of.0)].readers),
-            Key::Hold(_) => None,
-        }
-    }
-
     /// The proxies that a change of this line is written to; a hold also to those that hold others' tables.
     fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
-        let Key::Hold(id) = key else { return self.readers(key).cloned().unwrap_or_default() };
+        let id = match key {
+            Key::Line(of, _) | Key::Level(of, _) => return self.tables[usize::from(of.0)].readers.clone(),
+            Key::Hold(id) => id,
+        };
         let sent = |t: &&Table| self.entries.get(&Key::Line(t.id, id)).is_some_and(|line| line.sent > 0.0);
         let bound = self.tables.iter().filter(sent).flat_map(|table| table.readers.iter().copied());
         bound.chain(self.proxies.iter().filter(|(_, p)| !p.bound).map(|(id, _)| *id)).collect()
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -42,7 +42,6 @@
         warm_up: 16_000.0,
         cold_share: 0.25,
         overload_factor: 4.0,
-        load_by_probe: false,
         proxies: 0.0,
         managers: 1.0,
         list_asked: false,
