--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,24 +1,17 @@
-//! All decisions of a juniperrail manager.
-//!
-//! A host makes one [`Brain`] for each manager at its start and then calls [`Brain::turn`] with what
-//! happened since the last call; the orders that come back take effect in the order written. The types of
-//! both stand in `crates/interface`. It reads no clock and no other input: same events, same orders.
-//!
-//! The ordinary path follows `docs/design.md`: wanted values are composed line by line (`want`),
-//! ordered by pairs (`before`), sent within half the backlog (`send`) and settled by answered marks.
+//! All decisions of a juniperrail manager. A host makes one [`Brain`] for each manager at its start and calls
+//! [`Brain::turn`] with what happened since; the orders that come back take effect in the order written. The
+//! types of both stand in `crates/interface`. Same events, same orders; `docs/design.md` tells the mechanism.
 
 use juniperrail_interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Part of the lines that may wait which is topped up in a turn, and part that overdue drains may use.
+/// Parts of the lines that may wait: topped up in a turn, used by overdue drains; pace assumed of a channel.
 const TOPPED: (f64, f64) = (0.5, 0.8);
-/// The channel is taken to send at this part of its rate until an answer proves otherwise.
 const SLOWEST: f64 = 0.1;
-/// Part of the messages to a proxy that ordinary changes may use; in parts also of the channel, by heads.
+/// Part of the messages that ordinary changes may use, and in parts of the channel by heads; part of the drain
+/// grace after which a removal waits for no answer; least workers of a part; steps of a cold worker's ramp.
 const ORDINARY: (f64, f64) = (0.6, 0.2);
-/// Part of the drain grace after which a removal waits for no answer any more.
 const PATIENCE: f64 = 0.4;
-/// Least workers of a part, and the steps of a cold worker's ramp.
 const LEAST_PART: f64 = 16.0;
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
@@ -32,8 +25,7 @@
 /// Bounds of the multiple, what counts as low, and the part of the fleet's weight that may fall so low.
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
-/// Mean answer, in latency objectives, and busyness that the part let in is steered to, and that is no strain;
-/// bounds of a step, of those too small, and of what keeps the cold out; the least let in, the most it rises.
+/// Shedding is steered to a mean answer in latency objectives, and busyness; steps' bounds; least let in.
 const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: (f64, f64) = (0.85, 0.7);
 const SHED: (f64, f64) = (0.4, 1.5);
@@ -65,7 +57,7 @@
     state: State,
 }
 
-/// What proxies met at a worker: tries, those gone bad, and the time that the others took in all.
+/// What proxies met at a worker; what the good tries took in all.
 struct Sample {
     at: Ms,
     tries: f64,
@@ -77,11 +69,11 @@
 struct Worker {
     listed: Listed,
     told: Ms,
-    /// Multiple of its weight, and since when.
+    /// Multiple of its weight by symptom, and since when.
     factor: f64,
     weighed: Ms,
     samples: VecDeque<Sample>,
-    /// How many were known before it; in parts it counts them out.
+    /// How many were known before it: in parts it counts them out.
     serial: usize,
 }
 
@@ -98,10 +90,10 @@
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
 
-/// The operations (bit k is operation k) that are open to the same workers.
+/// The operations, by their places, that are open to the same workers.
 struct Table {
     id: TableId,
-    ops: u32,
+    ops: Vec<usize>,
     open: Operation,
     /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
@@ -111,11 +103,6 @@
 }
 
 impl Table {
-    fn ops(&self) -> impl Iterator<Item = usize> {
-        let ops = self.ops;
-        (0..32).filter(move |place| ops >> place & 1 == 1)
-    }
-
     fn open(&self, worker: &Worker) -> bool {
         self.open.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
             && self.open.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
@@ -133,22 +120,18 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: Vec<Table>,
     entries: BTreeMap<Key, Entry>,
-    /// The lines that are not completed.
     pending: BTreeSet<Key>,
-    /// Parts of the fleet, 0 where one table serves all; and what comes to the proxies dealt to each.
+    /// Parts of the fleet, 0 where one table serves all.
     parts: usize,
-    loads: Vec<f64>,
-    /// What is answered before what is sent, and when an update asked for it.
+    /// What is answered before what is sent, and since when.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
-    /// Lines by mark and proxy that no answer has proven to have left the channel, and the time of the last
-    /// such proof; this reply's messages and their lines in all.
+    /// Lines by mark and proxy that no answer has proven to have left, and the last proof; this reply's.
     waits: BTreeMap<(u64, ProxyId), f64>,
     proven: Ms,
     message: BTreeMap<ProxyId, f64>,
     adding: f64,
     changed: Ms,
-    /// Part of the demand that is let in, and when that last changed.
     let_in: f64,
     let_in_at: Ms,
     strained: bool,
@@ -171,10 +154,8 @@
         }
     }
 
-    /// Takes what happened up to `now` and returns what is to be done.
     pub fn turn(&mut self, now: Ms, events: &[Event]) -> Vec<Order> {
         self.now = now;
-        let beat = (self.start.report_period / 8.0).max(20.0);
         events.iter().for_each(|event| self.hear(event));
         // Answers alone change no judgement, and at size they come by the hundred.
         if events.is_empty() || events.iter().any(|event| !matches!(event, Event::Answered { .. })) {
@@ -185,12 +166,9 @@
         }
         self.settle();
         self.send();
-        if self.ask_at.take_if(|at| now >= *at).is_some() {
-            self.orders.push(Order::FollowList(true));
-        }
-        if std::mem::take(&mut self.wake) {
-            self.orders.push(Order::Wake { after: beat, handle: "beat".into() });
-        }
+        self.orders.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Order::FollowList(true)));
+        let (after, handle) = ((self.start.report_period / 8.0).max(20.0), "beat".into());
+        self.orders.extend(std::mem::take(&mut self.wake).then_some(Order::Wake { after, handle }));
         std::mem::take(&mut self.orders)
     }
 
@@ -216,7 +194,11 @@
                 let joined = Proxy { zone, inv_per_second, answered, ..Proxy::default() };
                 self.proxies.insert(*proxy, joined);
             }
-            Event::Left { proxy } => self.left(*proxy),
+            Event::Left { proxy } => {
+                // Its binds end: what only it owed an answer for settles to idle, its next bind carries all.
+                self.proxies.remove(proxy);
+                self.tables.iter_mut().for_each(|table| _ = table.readers.remove(proxy));
+            }
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
             Event::ProxySums { proxy, op, invs, over, .. } => {
                 if let Some(known) = self.proxies.get_mut(proxy) {
@@ -254,16 +236,6 @@
         worker.listed = listed;
     }
 
-    /// A broken stream ends the proxy's binds: lines that only it still owed an answer for become idle as
-    /// they settle, the others its next bind carries.
-    fn left(&mut self, id: ProxyId) {
-        let Some(proxy) = self.proxies.remove(&id) else { return };
-        if let Some(part) = proxy.part {
-            self.loads[part] -= proxy.inv_per_second;
-        }
-        self.tables.iter_mut().for_each(|table| _ = table.readers.remove(&id));
-    }
-
     /// An answer settles its proxy's lines and proves that all messages before its own left the channel.
     fn answered(&mut self, wire: MarkId, id: ProxyId) {
         let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(wire.0)) & 0xffff);
@@ -274,14 +246,14 @@
         self.proven = self.now;
     }
 
-    /// Lines that may still wait in the channel. Its pace is not known, so only answers and a very slow
-    /// pace count: guards against a channel slowed several times, stalled proxies and lost answers.
+    /// Lines that may still wait: only answers and a very slow pace count, guarding against slowed channels,
+    /// stalled proxies and lost answers.
     fn waiting(&self) -> f64 {
         let sent = (self.now - self.proven) * self.start.channel_rate * SLOWEST / 1000.0;
         (self.waits.values().sum::<f64>() - sent).max(0.0)
     }
 
-    /// The least part of its capacity that a worker can have by now, in a few steps.
+    /// The least part of its capacity that a worker can have by now.
     fn warmth(&self, listed: &Listed) -> f64 {
         let Some(booted) = listed.booted.filter(|_| self.start.warm_up > 0.0) else { return 1.0 };
         let step = ((self.now - booted) / self.start.warm_up * RAMP).floor() / RAMP;
@@ -289,7 +261,7 @@
         (cold + (1.0 - cold) * step.clamp(0.0, 1.0)).min(1.0)
     }
 
-    /// What was met at a worker, by the reports since then: the sums, and the mean of its busyness.
+    /// What was met at a worker by the reports since then.
     fn evidence(&self, worker: &Worker, since: Ms) -> Sample {
         let recent = || worker.samples.iter().filter(|sample| sample.at > since);
         let sum = |part: fn(&Sample) -> f64| recent().map(part).sum::<f64>();
@@ -297,10 +269,9 @@
         Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
     }
 
-    /// Weight by symptom: a worker whose tries cost more than its peers' (errors, no answers, refused
-    /// connections, slowness), or whose cores are busier, loses weight whatever the cause, and gets it back
-    /// as the small part left to it goes well. Only peers compare, so fleet-wide badness takes nobody out;
-    /// a report that does not come changes nothing.
+    /// A worker whose tries cost more than its peers' (errors, no answers, slowness) or whose cores are busier
+    /// loses weight whatever the cause, and regains it as its small part goes well. A fleet that is bad as a
+    /// whole has no bad worker; a report that does not come changes nothing.
     fn weigh(&mut self) {
         // Reports tell what an order did once they have settled.
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
@@ -323,9 +294,8 @@
             if let (Some(own), Some(busy)) = (own.busy, busy) {
                 ratio = (ratio * (own / busy.max(0.1)).max(0.2)).sqrt();
             }
-            let early =
-                n < ENOUGH || tries - n < ENOUGH || now < worker.weighed + 2.0 * self.start.report_period;
-            if early || ratio > 1.0 / DEADBAND && ratio < DEADBAND {
+            let early = now < worker.weighed + 2.0 * self.start.report_period;
+            if early || n.min(tries - n) < ENOUGH || ratio > 1.0 / DEADBAND && ratio < DEADBAND {
                 continue;
             }
             let step = ratio.max(0.01).powf(-GAIN * n / (n + ENOUGH)).clamp(STEPS.0, STEPS.1);
@@ -343,9 +313,8 @@
         }
     }
 
-    /// How much of its demand the fleet bears, by the reports since then: under 1, less should come. The
-    /// middle worker's lost tries and mean answer tell, one worker's trouble being no overload; sooner, how
-    /// busy all are; few tries tell little, as a manager with hardly any traffic has them.
+    /// How much of its demand the fleet bears; under 1, less should come. The middle worker tells, one worker's
+    /// trouble being no overload; few tries tell little.
     fn bears(&self, since: Ms) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
@@ -358,7 +327,7 @@
         let busy = mean(met.iter().filter_map(|met| met.busy));
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
-        // Lost answers, a slow path and impatient clients leave the cores idle: no overload, so no shedding.
+        // Idle cores are no overload: answers are lost, the path is slow or clients leave early.
         let idle = busy.is_some_and(|busy| busy < FULL.1);
         let met = if idle { SHED.1 } else { late.min(SHED.1 * (1.0 - lost).powi(2)) };
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
@@ -379,8 +348,8 @@
         }
     }
 
-    /// Parts for size: where a round of the whole table to all its proxies is more than half the backlog, the
-    /// fleet is laid in parts, as wide as such a round can be paid for, each with tables of its own.
+    /// Where a round of the whole table to all its proxies is more than half the backlog, the fleet is laid in
+    /// parts as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
         let present = || self.workers.values().filter(|worker| worker.listed.phase != Phase::Gone);
         let read = |t: &&Table| t.near.is_none_or(|near| Some(&near) == self.start.zones.first());
@@ -391,7 +360,7 @@
         if self.parts > 0 || parts < 2 || round < paid {
             return;
         }
-        (self.parts, self.loads) = (parts, vec![0.0; parts]);
+        self.parts = parts;
         for part in 0..parts {
             let first = self.tables.len() as u16;
             let lay = |t: Table| Table { id: TableId(first + t.id.0), part: Some((part, parts)), ..t };
@@ -400,25 +369,25 @@
         self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
     }
 
-    /// The proxies of this manager: its share of all, or those joined if there are more.
+    /// The proxies of this manager: its share, or those joined if there are more.
     fn expected(&self) -> f64 {
         (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
     }
 
-    /// Deals a proxy to the part with the least to bear. It stays there, so that nothing moves when others
-    /// come and go. One that would fill half a part has the whole fleet.
-    fn deal(&mut self, id: ProxyId) {
+    /// Deals proxies new to the parts, each to the one with least to bear; there it stays. One that would fill
+    /// half a part has the whole fleet.
+    fn deal(&mut self, unbound: &[(f64, ProxyId)]) {
+        let mut loads = vec![0.0; self.parts];
+        self.proxies.values().for_each(|p| p.part.map_or((), |part| loads[part] += p.inv_per_second));
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
-        let each = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64;
-        let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
-        let least = (0..self.parts).min_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
-        if let (Some(part), None, true) = (least, proxy.part, proxy.inv_per_second <= each / 2.0) {
-            proxy.part = Some(part);
-            self.loads[part] += proxy.inv_per_second;
+        let most = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64 / 2.0;
+        for (rate, id) in unbound.iter().filter(|(rate, _)| *rate <= most) {
+            let least = (0..self.parts).min_by(|a, b| loads[*a].total_cmp(&loads[*b])).expect("some parts");
+            let proxy = self.proxies.get_mut(id).expect("a joined proxy");
+            loads[*proxy.part.get_or_insert(least)] += rate;
         }
     }
 
-    /// The tables meant for a proxy, by their places.
     fn meant(&self, proxy: &Proxy) -> impl Iterator<Item = &Table> {
         let kinds = self.tables.len() / (self.parts + 1);
         let first = proxy.part.map_or(0, |part| part + 1) * kinds;
@@ -426,21 +395,18 @@
         self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
     }
 
-    /// Invocations a second of an operation at a proxy, by its reports or, before any, by its announcement.
+    /// Invocations a second at a proxy, by its reports or, before any, by its announcement.
     fn demand(&self, proxy: &Proxy, op: usize) -> f64 {
         let rates = proxy.demand.get(&OpId(op as u8)).into_iter().flatten();
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
-    /// The level of an operation: a share, or the rate at each proxy that lets the same part of all in.
+    /// A share, or the rate at each proxy that lets the same part of all in; what bills more is shed less.
     fn level(&self, table: &Table, op: usize) -> f64 {
-        // What bills more is shed less; the part let in is steered by what that makes of the answers.
         let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
         let part = self.let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
-        if self.start.level_kind == LevelKind::Share {
-            return part;
-        }
-        let proxies = table.readers.iter().filter(|_| part < 1.0);
+        let share = self.start.level_kind == LevelKind::Share;
+        let proxies = table.readers.iter().filter(|_| part < 1.0 && !share);
         let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
         rates.sort_by(f64::total_cmp);
         let mut left = rates.iter().sum::<f64>() * part;
@@ -451,10 +417,10 @@
             }
             left -= rate;
         }
-        NO_LIMIT
+        part.max(if share { 0.0 } else { NO_LIMIT })
     }
 
-    /// The weight that a worker can carry now: listed, by symptom and by warmth.
+    /// The weight that a worker can carry now.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
         ready * worker.listed.weight * worker.factor * self.warmth(&worker.listed)
@@ -463,25 +429,25 @@
     /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
         let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
-        let mut wanted: Vec<(Key, f64)> =
-            self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
+        let mut wanted: Vec<_> = self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
         let mut came: BTreeMap<TableId, f64> = self.tables.iter().map(|table| (table.id, 0.0)).collect();
         for proxy in self.proxies.values() {
             for table in self.meant(proxy) {
-                let demand = table.ops().map(|op| self.demand(proxy, op)).sum::<f64>();
+                let demand = table.ops.iter().map(|op| self.demand(proxy, *op)).sum::<f64>();
                 *came.entry(table.id).or_default() += demand;
             }
         }
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_cached_key(|t| (self.workers.values().filter(|w| t.open(w)).count(), t.ops, t.part));
+        tables.sort_by_cached_key(|t| {
+            (self.workers.values().filter(|w| t.open(w)).count(), t.ops.clone(), t.part)
+        });
         for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.open.own_zone) {
-            let workers: Vec<&Worker> =
-                self.workers.values().filter(|worker| group[0].open(worker)).collect();
+            let workers: Vec<&Worker> = self.workers.values().filter(|w| group[0].open(w)).collect();
             let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
             let spared = self.spared(&workers, usable);
-            // An operation open to all leans away from the workers that narrower ones already load; and where
-            // crossing zones is dear, each zone's proxies toward their own workers as far as those have room.
+            // Wide operations lean away from workers that narrower ones load; and where crossing zones is dear,
+            // each zone's proxies toward their own workers as far as those have room.
             let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
             let each = (group.iter().map(|table| came[&table.id]).sum::<f64>() + already) / usable;
             let mut room: Vec<f64> = Vec::new();
@@ -493,8 +459,7 @@
             let mut taken = vec![vec![0.0; workers.len()]; group.len()];
             for near in [true, false] {
                 for (table, taken) in group.iter().zip(&mut taken) {
-                    let at =
-                        |w: &usize| !near || table.near.is_none_or(|zone| zone == workers[*w].listed.zone);
+                    let at = |w: &usize| !near || table.near.is_none_or(|z| z == workers[*w].listed.zone);
                     let here: Vec<usize> = (0..workers.len()).filter(at).collect();
                     let free = here.iter().map(|w| room[*w]).sum::<f64>().max(1e-9);
                     let part = ((came[&table.id] - taken.iter().sum::<f64>()) / free).clamp(0.0, 1.0);
@@ -512,8 +477,8 @@
                     let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
                     wanted.push((Key::Line(table.id, worker.listed.worker), weight));
                 }
-                let level = |op| (Key::Level(table.id, OpId(op as u8)), self.level(table, op));
-                wanted.extend(table.ops().map(level));
+                let level = |op: &usize| (Key::Level(table.id, OpId(*op as u8)), self.level(table, *op));
+                wanted.extend(table.ops.iter().map(level));
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
@@ -524,36 +489,27 @@
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
-    /// What of its weight a cold worker gets: less as others cannot take theirs, which moves onto the cold, and
-    /// nothing while the fleet is strained and mostly warm, as all that the others lose is brought to whoever
-    /// has just come.
+    /// What of its weight a cold worker gets: what others cannot take moves onto it; nothing while the fleet is
+    /// strained and mostly warm, as all that they lose is brought to whoever has just come.
     fn spared(&self, workers: &[&Worker], usable: f64) -> f64 {
         let open = || workers.iter().filter(|worker| worker.listed.phase != Phase::Gone);
         let all = open().map(|worker| worker.listed.weight).sum::<f64>().max(1e-9);
         let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
         let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
         let multiple = self.start.overload_factor;
-        let spared = (multiple / 4.0).min(1.0) * (usable / all * multiple / 2.0).min(1.0);
-        if self.strained && 2.0 * warm > all {
-            0.0
-        } else {
-            spared
-        }
+        let spared = if self.strained && 2.0 * warm > all { 0.0 } else { (multiple / 4.0).min(1.0) };
+        spared * (usable / all * multiple / 2.0).min(1.0)
     }
 
-    /// Composes a write onto what is pending for its line: the later one wins, and what is unanswered
-    /// counts as unapplied. Returns whether anything is to be sent for it now.
+    /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
     fn want(&mut self, key: Key, value: f64) -> bool {
         let fresh = Entry { wanted: 0.0, sent: 0.0, state: State::Completed };
         let entry = self.entries.entry(key).or_insert(fresh);
-        let changed = entry.wanted != value;
-        entry.wanted = value;
-        if changed && entry.sent != value {
-            entry.state = State::Idle;
+        let changed = std::mem::replace(&mut entry.wanted, value) != value;
+        if changed {
+            // The channel is in order: the value on its way may be the one wanted again.
+            entry.state = if entry.sent != value { State::Idle } else { State::Scheduled(self.mark) };
             self.pending.insert(key);
-        } else if changed && entry.state == State::Idle {
-            // The channel is in order: the value on its way is the one wanted again.
-            entry.state = State::Scheduled(self.mark);
         }
         changed && entry.sent != value
     }
@@ -562,8 +518,8 @@
         self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent > 0.0)
     }
 
-    /// The pairs that a changed line brings: lines go behind the hold, a hold is lifted behind the line
-    /// that eases its worker in, and a table's last sound line is held behind its replacements.
+    /// Lines go behind the hold, a hold is lifted behind the line that eases its worker in, and a table's last
+    /// sound line is held behind its replacements.
     fn order(&mut self, key: Key, sound: &[bool]) {
         let removed = self.entries[&key].wanted == 0.0;
         match key {
@@ -571,10 +527,9 @@
             Key::Line(_, id) if self.held(id) => self.before(key, Key::Hold(id)),
             Key::Hold(id) if !removed => {
                 let bare = |t: &&Table| !sound[usize::from(t.id.0)] && t.open(&self.workers[&id]);
-                let lines = self.tables.iter().filter(bare).flat_map(|table| {
-                    let others =
-                        self.lines(table.id).filter(|(other, line)| *other != id && line.wanted > 0.0);
-                    others.map(|(other, _)| Key::Line(table.id, other))
+                let lines = self.tables.iter().filter(bare).flat_map(|t| {
+                    let others = self.lines(t.id).filter(|(other, line)| *other != id && line.wanted > 0.0);
+                    others.map(|(other, _)| Key::Line(t.id, other))
                 });
                 lines.collect::<Vec<Key>>().into_iter().for_each(|line| self.before(line, key));
             }
@@ -587,8 +542,8 @@
         self.workers.keys().filter_map(line)
     }
 
-    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent
-    /// of its first line linked to every child of its second, so that no implied order is lost.
+    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent of its
+    /// first line linked to every child of its second.
     fn before(&mut self, parent: Key, child: Key) {
         self.pairs.insert((parent, child), self.now);
         while let Some(cycle) = self.path(parent, parent, &mut Vec::new()) {
@@ -597,9 +552,8 @@
             let since = self.pairs.remove(&oldest).expect("a known pair");
             let pairs: Vec<(Key, Key)> = self.pairs.keys().copied().collect();
             for (above, _) in pairs.iter().filter(|pair| pair.1 == oldest.0) {
-                for (_, below) in pairs.iter().filter(|pair| pair.0 == oldest.1 && pair.1 != *above) {
-                    self.pairs.entry((*above, *below)).or_insert(since);
-                }
+                let below = pairs.iter().filter(|pair| pair.0 == oldest.1 && pair.1 != *above);
+                below.for_each(|pair| _ = self.pairs.entry((*above, pair.1)).or_insert(since));
             }
         }
     }
@@ -616,12 +570,10 @@
         })
     }
 
-    /// A line is completed when every proxy that it was written to answered a mark sent after it, and idle again
-    /// when none is left to answer.
+    /// A line is completed when every proxy bound to it answered a mark sent after it, idle when none is left.
     fn settle(&mut self) {
         let answered = |id: &ProxyId| self.proxies[id].answered;
-        let oldest: Vec<Option<u64>> =
-            self.tables.iter().map(|t| t.readers.iter().map(answered).min()).collect();
+        let oldest: Vec<_> = self.tables.iter().map(|t| t.readers.iter().map(answered).min()).collect();
         let unbound = self.proxies.values().filter(|proxy| !proxy.bound).map(|proxy| proxy.answered).min();
         self.pending.retain(|key| {
             let answered = match *key {
@@ -642,9 +594,8 @@
         self.pairs.retain(|pair, _| self.pending.contains(&pair.0) && self.pending.contains(&pair.1));
     }
 
-    /// Tops the waiting lines up to half the backlog: drains first, then binds, then the largest changes.
-    /// Drains alone may use the reserve, and once overdue they wait for no answer: guards the drain grace
-    /// against stalled proxies, lost answers and a slow channel.
+    /// Tops the waiting lines up to half the backlog: drains, then binds, then the largest changes. Drains alone
+    /// use the reserve; overdue, they wait for no answer: guards the grace against stalls and slow channels.
     fn send(&mut self) {
         let (now, most, waiting) = (self.now, self.start.lines_waiting_most, self.waiting());
         let head = self.start.message_overhead + 1.0;
@@ -654,27 +605,29 @@
         let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * ORDINARY.1);
         let gap = paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads } else { 0.0 });
         let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
-        let (mut drains, mut changes) = (Vec::new(), Vec::new());
-        for key in self.pending.iter().filter(|key| self.entries[key].state == State::Idle) {
-            let (entry, ready) = (&self.entries[key], !behind.contains(key));
+        let idle = self.pending.iter().filter(|key| self.entries[key].state == State::Idle);
+        let mut changes = Vec::new();
+        // Holds come first in the order of keys.
+        for key in idle.copied().collect::<Vec<Key>>() {
+            let (entry, ready) = (&self.entries[&key], !behind.contains(&key));
             if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
-                let overdue = now >= self.workers[id].told + PATIENCE * self.start.drain_grace;
+                let overdue = now >= self.workers[&id].told + PATIENCE * self.start.drain_grace;
                 if ready || overdue {
-                    drains.push((if overdue { TOPPED.1 } else { TOPPED.0 }, *key));
+                    let part = if overdue { TOPPED.1 } else { TOPPED.0 };
+                    self.add(key, most * part - waiting, 1.0);
                 }
             } else if ready && now >= self.changed + gap {
-                changes.push(((entry.wanted - entry.sent).abs(), *key));
+                changes.push(((entry.wanted - entry.sent).abs(), key));
             }
         }
-        for (part, key) in drains {
-            self.add(key, most * part - waiting, 1.0);
-        }
         let room = most * TOPPED.0 - reserve - waiting;
         let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.bound);
         let mut unbound: Vec<(f64, ProxyId)> = unbound.map(|(id, p)| (p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
+        if self.parts > 0 {
+            self.deal(&unbound);
+        }
         for (_, id) in unbound {
-            self.deal(id);
             // One that could never fit goes alone, into a channel that is empty.
             let alone = waiting == 0.0 && self.message.is_empty();
             if !self.bind(id, if alone { most * TOPPED.1 } else { room }) {
@@ -699,7 +652,7 @@
         }
     }
 
-    /// Writes so many lines to each of these proxies if all fit, within `part` of their limit of messages.
+    /// Writes so many lines to each proxy if all fit, within `part` of their limit of messages.
     fn write(&mut self, to: &BTreeSet<ProxyId>, lines: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
         let head = self.start.message_overhead + 1.0;
@@ -718,7 +671,7 @@
         free
     }
 
-    /// Adds a line to this reply if there is room for it at every proxy that reads it, and tells if any does.
+    /// Adds a line if there is room at every proxy that reads it; tells if any does, as unread ones cost nothing.
     fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
         let to = self.reach(key);
         if !to.is_empty() && !self.write(&to, 1.0, room, part) {
@@ -728,8 +681,7 @@
         entry.sent = entry.wanted;
         entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
         let level = entry.wanted;
-        // Proof that a try never ran makes another safe for every operation. Any other try, measured,
-        // multiplies an overload: a try given up goes on working at its worker.
+        // Any other further try, measured, multiplies an overload: a try given up goes on working at its worker.
         let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
         self.orders.push(match key {
             Key::Hold(worker) => Order::HoldBack { worker, out: level > 0.0 },
@@ -746,12 +698,12 @@
             let lines = self.lines(table.id).filter(|(_, entry)| entry.sent > 0.0);
             let (held, free): (Vec<_>, Vec<_>) = lines.partition(|(worker, _)| self.held(*worker));
             if !free.is_empty() {
-                cost += (1 + 2 * held.len() + free.len() + table.ops().count()) as f64;
-                binds.push((table.id, table.ops));
+                cost += (1 + 2 * held.len() + free.len() + table.ops.len()) as f64;
+                binds.push((table.id, table.ops.iter().map(|op| 1 << op).sum()));
             }
         }
         if binds.is_empty() || !self.write(&BTreeSet::from([id]), cost, room, 1.0) {
-            return binds.is_empty();
+            return binds.is_empty() || self.adding + cost <= room;
         }
         self.tables.iter_mut().for_each(|table| _ = table.readers.remove(&id));
         for (table, ops) in binds {
@@ -762,7 +714,7 @@
         true
     }
 
-    /// The proxies that a change of this line is written to; a hold also to those that hold others' tables.
+    /// Who a line is written to; a hold also to those that hold others' tables.
     fn reach(&self, key: Key) -> BTreeSet<ProxyId> {
         let id = match key {
             Key::Line(of, _) | Key::Level(of, _) => return self.tables[usize::from(of.0)].readers.clone(),
@@ -782,10 +734,11 @@
         for near in if apart { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
             let of = |op: &Operation| (op.zones.clone(), op.machines.clone(), op.own_zone);
             if let Some(table) = tables.iter_mut().find(|t| t.near == near && of(&t.open) == of(op)) {
-                table.ops |= 1 << place;
+                table.ops.push(place);
             } else {
                 let (id, open) = (TableId(tables.len() as u16), op.clone());
-                tables.push(Table { id, ops: 1 << place, open, near, part: None, readers: BTreeSet::new() });
+                let (ops, readers) = (vec![place], BTreeSet::new());
+                tables.push(Table { id, ops, open, near, part: None, readers });
             }
         }
     }
