--- a/src/brain.rs
+++ b/src/brain.rs
@@ -315,7 +315,7 @@
 
     /// How much of its demand the fleet bears; under 1, less should come. The middle worker tells, one worker's
     /// trouble being no overload; few tries tell little.
-    fn bears(&self, since: Ms) -> Option<f64> {
+    fn bears(&self, since: Ms, idle: f64) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
         (met.len() as f64 >= ENOUGH).then_some(())?;
@@ -328,7 +328,7 @@
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
         // Idle cores are no overload: answers are lost, the path is slow or clients leave early.
-        let idle = busy.is_some_and(|busy| busy < FULL.1);
+        let idle = busy.is_some_and(|busy| busy < idle);
         let met = if idle { SHED.1 } else { late.min(SHED.1 * (1.0 - lost).powi(2)) };
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
     }
@@ -336,9 +336,10 @@
     /// Lets less in while the fleet bears less, and more again once that is over.
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
-        let Some(bears) = self.bears(now - settled) else { return };
+        // Busyness is told late: for the cold, lost and late answers are strain even on idle cores.
+        let Some(bears) = self.bears(now - settled, 0.0) else { return };
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
-        let Some(step) = self.bears((self.let_in_at + settled).max(now - settled)) else { return };
+        let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let next = (self.let_in * step.min(RETURN)).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
