--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,7 +32,7 @@
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
-const RETURN: f64 = 1.2;
+const NEAR: f64 = 0.8;
 /// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
@@ -44,17 +44,12 @@
     Level(TableId, OpId),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Idle,
-    Scheduled(u64),
-    Completed,
-}
-
+/// Idle while what is wanted is not what was sent; scheduled while a mark is owed; else completed.
+#[derive(Default)]
 struct Entry {
     wanted: f64,
     sent: f64,
-    state: State,
+    owed: Option<u64>,
 }
 
 /// What proxies met at a worker; what the good tries took in all.
@@ -134,6 +129,8 @@
     changed: Ms,
     let_in: f64,
     let_in_at: Ms,
+    jammed_at: f64,
+    rising: bool,
     strained: bool,
     wake: bool,
     ask_at: Option<Ms>,
@@ -147,6 +144,7 @@
             now,
             tables: tables(&start),
             let_in: 1.0,
+            jammed_at: 1.0,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             start,
@@ -201,18 +199,16 @@
             }
             Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
             Event::ProxySums { proxy, op, invs, over, .. } => {
-                if let Some(known) = self.proxies.get_mut(proxy) {
-                    let rates = known.demand.entry(*op).or_default();
-                    rates.push_front(invs * 1000.0 / over.max(1.0));
-                    rates.truncate(KEPT.1);
-                }
+                let Some(known) = self.proxies.get_mut(proxy) else { return };
+                let rates = known.demand.entry(*op).or_default();
+                rates.push_front(invs * 1000.0 / over.max(1.0));
+                rates.truncate(KEPT.1);
             }
             Event::WorkerSums { worker, tries, bad, mean, load, .. } => {
-                if let Some(known) = self.workers.get_mut(worker) {
-                    let (tries, bad, took) = (*tries, *bad, (tries - bad) * mean);
-                    known.samples.push_front(Sample { at: self.now, tries, bad, took, busy: load.busy });
-                    known.samples.truncate(KEPT.0);
-                }
+                let Some(known) = self.workers.get_mut(worker) else { return };
+                let (tries, bad, took) = (*tries, *bad, (tries - bad) * mean);
+                known.samples.push_front(Sample { at: self.now, tries, bad, took, busy: load.busy });
+                known.samples.truncate(KEPT.0);
             }
             _ => {}
         }
@@ -341,9 +337,12 @@
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
-        let next = (self.let_in * step.min(RETURN)).clamp(least, 1.0);
+        let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
+        let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
-            (self.let_in, self.let_in_at) = (next, now);
+            // Cuts in a row answer one jam: its reports come late.
+            self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
+            (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
             self.orders.push(Order::Log { about: None, text });
         }
@@ -484,7 +483,7 @@
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
         // Tables with a line in force that stays and may be picked.
-        let stays = |e: &Entry| e.wanted > 0.0 && e.sent > 0.0 && e.state == State::Completed;
+        let stays = |e: &Entry| e.wanted > 0.0 && e.sent == e.wanted && e.owed.is_none();
         let sound = |t: &Table| self.lines(t.id).any(|(id, entry)| stays(entry) && !self.held(id));
         let sound: Vec<bool> = self.tables.iter().map(sound).collect();
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
@@ -504,12 +503,9 @@
 
     /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
     fn want(&mut self, key: Key, value: f64) -> bool {
-        let fresh = Entry { wanted: 0.0, sent: 0.0, state: State::Completed };
-        let entry = self.entries.entry(key).or_insert(fresh);
+        let entry = self.entries.entry(key).or_default();
         let changed = std::mem::replace(&mut entry.wanted, value) != value;
         if changed {
-            // The channel is in order: the value on its way may be the one wanted again.
-            entry.state = if entry.sent != value { State::Idle } else { State::Scheduled(self.mark) };
             self.pending.insert(key);
         }
         changed && entry.sent != value
@@ -585,12 +581,13 @@
                 }
             };
             let entry = self.entries.get_mut(key).expect("a known key");
-            entry.state = match (entry.state, answered) {
-                (State::Scheduled(mark), Some(answered)) if answered >= mark => State::Completed,
-                (State::Scheduled(_), None) => State::Idle,
-                (state, _) => state,
-            };
-            entry.state != State::Completed
+            match (entry.owed, answered) {
+                // Nobody is left to answer: idle again.
+                (Some(_), None) => (entry.sent, entry.owed) = (f64::NAN, None),
+                (Some(mark), Some(answered)) if answered >= mark => entry.owed = None,
+                _ => {}
+            }
+            entry.owed.is_some() || entry.wanted != entry.sent
         });
         self.pairs.retain(|pair, _| self.pending.contains(&pair.0) && self.pending.contains(&pair.1));
     }
@@ -606,10 +603,15 @@
         let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * ORDINARY.1);
         let gap = paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads } else { 0.0 });
         let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
-        let idle = self.pending.iter().filter(|key| self.entries[key].state == State::Idle);
+        let unread = |of: &TableId| self.tables[usize::from(of.0)].readers.is_empty();
+        let due = |key: &&Key| match key {
+            Key::Line(of, _) | Key::Level(of, _) => now >= self.changed + gap || unread(of),
+            Key::Hold(_) => true,
+        };
+        let idle = self.pending.iter().filter(|key| self.entries[key].wanted != self.entries[key].sent);
         let mut changes = Vec::new();
         // Holds come first in the order of keys.
-        for key in idle.copied().collect::<Vec<Key>>() {
+        for key in idle.filter(due).copied().collect::<Vec<Key>>() {
             let (entry, ready) = (&self.entries[&key], !behind.contains(&key));
             if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
                 let overdue = now >= self.workers[&id].told + PATIENCE * self.start.drain_grace;
@@ -617,7 +619,7 @@
                     let part = if overdue { TOPPED.1 } else { TOPPED.0 };
                     self.add(key, most * part - waiting, 1.0);
                 }
-            } else if ready && now >= self.changed + gap {
+            } else if ready {
                 changes.push(((entry.wanted - entry.sent).abs(), key));
             }
         }
@@ -680,7 +682,7 @@
         }
         let entry = self.entries.get_mut(&key).expect("a known key");
         entry.sent = entry.wanted;
-        entry.state = if to.is_empty() { State::Completed } else { State::Scheduled(self.mark + 1) };
+        entry.owed = (!to.is_empty()).then_some(self.mark + 1);
         let level = entry.wanted;
         // Any other further try, measured, multiplies an overload: a try given up goes on working at its worker.
         let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
@@ -734,12 +736,12 @@
         let apart = op.own_zone || start.crossing_price > start.channel_price;
         for near in if apart { start.zones.iter().copied().map(Some).collect() } else { vec![None] } {
             let of = |op: &Operation| (op.zones.clone(), op.machines.clone(), op.own_zone);
-            if let Some(table) = tables.iter_mut().find(|t| t.near == near && of(&t.open) == of(op)) {
-                table.ops.push(place);
-            } else {
-                let (id, open) = (TableId(tables.len() as u16), op.clone());
-                let (ops, readers) = (vec![place], BTreeSet::new());
-                tables.push(Table { id, ops, open, near, part: None, readers });
+            match tables.iter_mut().find(|t| t.near == near && of(&t.open) == of(op)) {
+                Some(table) => table.ops.push(place),
+                None => {
+                    let (id, ops, open) = (TableId(tables.len() as u16), vec![place], op.clone());
+                    tables.push(Table { id, ops, open, near, part: None, readers: BTreeSet::new() });
+                }
             }
         }
     }
