--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,8 +8,7 @@
 /// Parts of the lines that may wait: topped up in a turn, used by overdue drains; pace assumed of a channel.
 const TOPPED: (f64, f64) = (0.5, 0.8);
 const SLOWEST: f64 = 0.1;
-/// Part of the messages that ordinary changes may use, and in parts of the channel by heads; part of the drain
-/// grace after which a removal waits for no answer; least workers of a part; steps of a cold worker's ramp.
+/// Ordinary messages' part, and their heads' of the channel; the grace's for answers; least part; ramp steps.
 const ORDINARY: (f64, f64) = (0.6, 0.2);
 const PATIENCE: f64 = 0.4;
 const LEAST_PART: f64 = 16.0;
@@ -33,7 +32,6 @@
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
 const NEAR: f64 = 0.8;
-/// Leans and levels differ by this multiple at least, and the level that is none.
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -52,7 +50,6 @@
     owed: Option<u64>,
 }
 
-/// What proxies met at a worker; what the good tries took in all.
 struct Sample {
     at: Ms,
     tries: f64,
@@ -64,11 +61,9 @@
 struct Worker {
     listed: Listed,
     told: Ms,
-    /// Multiple of its weight by symptom, and since when.
     factor: f64,
     weighed: Ms,
     samples: VecDeque<Sample>,
-    /// How many were known before it: in parts it counts them out.
     serial: usize,
 }
 
@@ -76,23 +71,19 @@
 struct Proxy {
     zone: ZoneId,
     inv_per_second: f64,
-    /// The part of the fleet that it is dealt to; the whole if none.
     part: Option<usize>,
     bound: bool,
     answered: u64,
     messages: VecDeque<Ms>,
-    /// Invocations a second that came lately, by operation.
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
 
-/// The operations, by their places, that are open to the same workers.
 struct Table {
     id: TableId,
     ops: Vec<usize>,
     open: Operation,
     /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
-    /// Only this part of the fleet, of so many.
     part: Option<(usize, usize)>,
     readers: BTreeSet<ProxyId>,
 }
@@ -116,7 +107,6 @@
     tables: Vec<Table>,
     entries: BTreeMap<Key, Entry>,
     pending: BTreeSet<Key>,
-    /// Parts of the fleet, 0 where one table serves all.
     parts: usize,
     /// What is answered before what is sent, and since when.
     pairs: BTreeMap<(Key, Key), Ms>,
@@ -178,9 +168,9 @@
             }
             Event::List { kind, workers, .. } => {
                 let listed: BTreeSet<WorkerId> = workers.iter().map(|listed| listed.worker).collect();
-                let known = self.workers.iter().filter(|_| *kind != ListKind::Changes);
-                let absent = known.filter(|(id, _)| !listed.contains(id));
-                let gone = absent.map(|(_, w)| Listed { phase: Phase::Gone, ..w.listed.clone() });
+                let full = *kind != ListKind::Changes;
+                let gone = self.workers.values().filter(|w| full && !listed.contains(&w.listed.worker));
+                let gone = gone.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() });
                 let mut news: Vec<Listed> = gone.chain(workers.iter().cloned()).collect();
                 // Counted out to the parts in this order, each zone and machine is spread over all of them.
                 news.sort_by_key(|listed| (listed.zone, listed.machine));
@@ -189,15 +179,22 @@
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
-                let joined = Proxy { zone, inv_per_second, answered, ..Proxy::default() };
-                self.proxies.insert(*proxy, joined);
+                self.proxies.insert(*proxy, Proxy { zone, inv_per_second, answered, ..Proxy::default() });
             }
             Event::Left { proxy } => {
                 // Its binds end: what only it owed an answer for settles to idle, its next bind carries all.
                 self.proxies.remove(proxy);
                 self.tables.iter_mut().for_each(|table| _ = table.readers.remove(proxy));
             }
-            Event::Answered { mark, proxy, .. } => self.answered(*mark, *proxy),
+            Event::Answered { mark, proxy, .. } => {
+                // It proves that all messages before its own left the channel, whoever they went to.
+                let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(mark.0)) & 0xffff);
+                let Some(known) = self.proxies.get_mut(proxy).filter(|p| p.answered < mark) else { return };
+                known.answered = mark;
+                self.waits = self.waits.split_off(&(mark, ProxyId(0)));
+                self.waits.remove(&(mark, *proxy));
+                self.proven = self.now;
+            }
             Event::ProxySums { proxy, op, invs, over, .. } => {
                 let Some(known) = self.proxies.get_mut(proxy) else { return };
                 let rates = known.demand.entry(*op).or_default();
@@ -216,9 +213,8 @@
 
     /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, mut listed: Listed) {
-        if listed.weight <= 0.0 {
-            listed.weight = mean(self.workers.values().map(|worker| worker.listed.weight)).unwrap_or(1.0);
-        }
+        let known = self.workers.values().map(|worker| worker.listed.weight);
+        listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
         let (now, samples, serial) = (self.now, VecDeque::new(), self.workers.len());
         let (factor, weighed) = (1.0, f64::NEG_INFINITY);
         let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, serial };
@@ -226,30 +222,11 @@
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
         }
-        if listed.phase != worker.listed.phase && worker.listed.phase == Phase::Ready {
-            worker.told = now;
-        }
+        let left = worker.listed.phase == Phase::Ready && listed.phase != Phase::Ready;
+        worker.told = if left { now } else { worker.told };
         worker.listed = listed;
     }
 
-    /// An answer settles its proxy's lines and proves that all messages before its own left the channel.
-    fn answered(&mut self, wire: MarkId, id: ProxyId) {
-        let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(wire.0)) & 0xffff);
-        let Some(proxy) = self.proxies.get_mut(&id).filter(|proxy| proxy.answered < mark) else { return };
-        proxy.answered = mark;
-        self.waits = self.waits.split_off(&(mark, ProxyId(0)));
-        self.waits.remove(&(mark, id));
-        self.proven = self.now;
-    }
-
-    /// Lines that may still wait: only answers and a very slow pace count, guarding against slowed channels,
-    /// stalled proxies and lost answers.
-    fn waiting(&self) -> f64 {
-        let sent = (self.now - self.proven) * self.start.channel_rate * SLOWEST / 1000.0;
-        (self.waits.values().sum::<f64>() - sent).max(0.0)
-    }
-
-    /// The least part of its capacity that a worker can have by now.
     fn warmth(&self, listed: &Listed) -> f64 {
         let Some(booted) = listed.booted.filter(|_| self.start.warm_up > 0.0) else { return 1.0 };
         let step = ((self.now - booted) / self.start.warm_up * RAMP).floor() / RAMP;
@@ -257,7 +234,6 @@
         (cold + (1.0 - cold) * step.clamp(0.0, 1.0)).min(1.0)
     }
 
-    /// What was met at a worker by the reports since then.
     fn evidence(&self, worker: &Worker, since: Ms) -> Sample {
         let recent = || worker.samples.iter().filter(|sample| sample.at > since);
         let sum = |part: fn(&Sample) -> f64| recent().map(part).sum::<f64>();
@@ -265,23 +241,20 @@
         Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
     }
 
-    /// A worker whose tries cost more than its peers' (errors, no answers, slowness) or whose cores are busier
-    /// loses weight whatever the cause, and regains it as its small part goes well. A fleet that is bad as a
-    /// whole has no bad worker; a report that does not come changes nothing.
+    /// A worker whose tries cost more than its peers' or whose cores are busier loses weight whatever the
+    /// cause, and regains it as its small part goes well. A fleet bad as a whole has no bad worker.
     fn weigh(&mut self) {
-        // Reports tell what an order did once they have settled.
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
         let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
-        let peers = self.workers.values().map(|worker| self.evidence(worker, now - 2.0 * settled));
+        let peers = self.workers.values().map(|w| self.evidence(w, now - 2.0 * settled));
         let peers: Vec<Sample> = peers.collect();
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
         let ready = || self.workers.values().filter(|worker| worker.listed.phase == Phase::Ready);
         let all: f64 = ready().map(|worker| worker.listed.weight).sum();
-        let low = ready().filter(|worker| worker.factor < LOW.0);
-        let mut low = low.map(|worker| worker.listed.weight).sum::<f64>();
+        let mut low: f64 = ready().filter(|w| w.factor < LOW.0).map(|w| w.listed.weight).sum();
         for id in self.workers.keys().copied().collect::<Vec<WorkerId>>() {
             let worker = &self.workers[&id];
             let own = self.evidence(worker, worker.weighed + settled);
@@ -309,8 +282,7 @@
         }
     }
 
-    /// How much of its demand the fleet bears; under 1, less should come. The middle worker tells, one worker's
-    /// trouble being no overload; few tries tell little.
+    /// How much of its demand the fleet bears, by the middle worker: one in trouble is no overload.
     fn bears(&self, since: Ms, idle: f64) -> Option<f64> {
         let met = self.workers.values().map(|worker| self.evidence(worker, since));
         let met: Vec<Sample> = met.filter(|met| met.tries > 0.0).collect();
@@ -329,7 +301,6 @@
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
-    /// Lets less in while the fleet bears less, and more again once that is over.
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // Busyness is told late: for the cold, lost and late answers are strain even on idle cores.
@@ -348,7 +319,7 @@
         }
     }
 
-    /// Where a round of the whole table to all its proxies is more than half the backlog, the fleet is laid in
+    /// Where a round of the whole table to all its proxies is over half the backlog, the fleet is laid in
     /// parts as wide as such a round can be paid for, each with tables of its own.
     fn split(&mut self) {
         let present = || self.workers.values().filter(|worker| worker.listed.phase != Phase::Gone);
@@ -357,7 +328,7 @@
         let (kinds, round) = lines.fold((0.0, 0.0), |sum, lines| (sum.0 + 1.0, sum.1 + lines as f64));
         let paid = self.start.lines_waiting_most * TOPPED.0 / self.expected() - self.start.message_overhead;
         let parts = (round / paid.max(LEAST_PART * kinds).max(1.0)) as usize;
-        if self.parts > 0 || parts < 2 || round < paid {
+        if self.parts > 0 || round < paid || parts < 2 {
             return;
         }
         self.parts = parts;
@@ -369,20 +340,18 @@
         self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
     }
 
-    /// The proxies of this manager: its share, or those joined if there are more.
     fn expected(&self) -> f64 {
         (self.start.proxies / self.start.managers.max(1.0)).max(self.proxies.len() as f64).max(1.0)
     }
 
-    /// Deals proxies new to the parts, each to the one with least to bear; there it stays. One that would fill
-    /// half a part has the whole fleet.
+    /// Deals each new proxy to the part with least to bear; one that would fill half a part has the whole.
     fn deal(&mut self, unbound: &[(f64, ProxyId)]) {
         let mut loads = vec![0.0; self.parts];
         self.proxies.values().for_each(|p| p.part.map_or((), |part| loads[part] += p.inv_per_second));
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
         let most = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64 / 2.0;
         for (rate, id) in unbound.iter().filter(|(rate, _)| *rate <= most) {
-            let least = (0..self.parts).min_by(|a, b| loads[*a].total_cmp(&loads[*b])).expect("some parts");
+            let Some(least) = (0..self.parts).min_by(|a, b| loads[*a].total_cmp(&loads[*b])) else { return };
             let proxy = self.proxies.get_mut(id).expect("a joined proxy");
             loads[*proxy.part.get_or_insert(least)] += rate;
         }
@@ -395,7 +364,6 @@
         self.tables[first..first + kinds].iter().filter(move |t| t.near.is_none_or(|near| near == zone))
     }
 
-    /// Invocations a second at a proxy, by its reports or, before any, by its announcement.
     fn demand(&self, proxy: &Proxy, op: usize) -> f64 {
         let rates = proxy.demand.get(&OpId(op as u8)).into_iter().flatten();
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
@@ -420,13 +388,11 @@
         part.max(if share { 0.0 } else { NO_LIMIT })
     }
 
-    /// The weight that a worker can carry now.
     fn usable(&self, worker: &Worker) -> f64 {
         let ready = f64::from(u8::from(worker.listed.phase == Phase::Ready));
         ready * worker.listed.weight * worker.factor * self.warmth(&worker.listed)
     }
 
-    /// Works out the wanted value of every line and composes it onto what is pending.
     fn plan(&mut self) {
         let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
         let mut wanted: Vec<_> = self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
@@ -446,8 +412,7 @@
             let workers: Vec<&Worker> = self.workers.values().filter(|w| group[0].open(w)).collect();
             let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
             let spared = self.spared(&workers, usable);
-            // Wide operations lean away from workers that narrower ones load; and where crossing zones is dear,
-            // each zone's proxies toward their own workers as far as those have room.
+            // Wide operations lean from workers that narrower ones load, proxies from zones dear to reach.
             let already = workers.iter().filter_map(|w| carried.get(&w.listed.worker)).sum::<f64>();
             let each = (group.iter().map(|table| came[&table.id]).sum::<f64>() + already) / usable;
             let mut room: Vec<f64> = Vec::new();
@@ -482,15 +447,13 @@
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
-        // Tables with a line in force that stays and may be picked.
         let stays = |e: &Entry| e.wanted > 0.0 && e.sent == e.wanted && e.owed.is_none();
         let sound = |t: &Table| self.lines(t.id).any(|(id, entry)| stays(entry) && !self.held(id));
         let sound: Vec<bool> = self.tables.iter().map(sound).collect();
         wanted.into_iter().for_each(|(key, _)| self.order(key, &sound));
     }
 
-    /// What of its weight a cold worker gets: what others cannot take moves onto it; nothing while the fleet is
-    /// strained and mostly warm, as all that they lose is brought to whoever has just come.
+    /// What of its weight a cold worker gets: what strained others lose moves onto whoever has just come.
     fn spared(&self, workers: &[&Worker], usable: f64) -> f64 {
         let open = || workers.iter().filter(|worker| worker.listed.phase != Phase::Gone);
         let all = open().map(|worker| worker.listed.weight).sum::<f64>().max(1e-9);
@@ -515,8 +478,8 @@
         self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent > 0.0)
     }
 
-    /// Lines go behind the hold, a hold is lifted behind the line that eases its worker in, and a table's last
-    /// sound line is held behind its replacements.
+    /// Lines go behind the hold, a hold is lifted behind the line that eases its worker in, and a table's
+    /// last sound line is held behind its replacements.
     fn order(&mut self, key: Key, sound: &[bool]) {
         let removed = self.entries[&key].wanted == 0.0;
         match key {
@@ -539,8 +502,8 @@
         self.workers.keys().filter_map(line)
     }
 
-    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent of its
-    /// first line linked to every child of its second.
+    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent of
+    /// its first line linked to every child of its second.
     fn before(&mut self, parent: Key, child: Key) {
         self.pairs.insert((parent, child), self.now);
         while let Some(cycle) = self.path(parent, parent, &mut Vec::new()) {
@@ -555,7 +518,6 @@
         }
     }
 
-    /// The pairs that lead from one line to another, if any do.
     fn path(&self, from: Key, to: Key, seen: &mut Vec<Key>) -> Option<Vec<(Key, Key)>> {
         let last = Key::Level(TableId(u16::MAX), OpId(u8::MAX));
         self.pairs.range((from, Key::Hold(WorkerId(0)))..=(from, last)).find_map(|(pair, _)| {
@@ -567,7 +529,7 @@
         })
     }
 
-    /// A line is completed when every proxy bound to it answered a mark sent after it, idle when none is left.
+    /// A line is completed when every proxy bound to it answered a mark sent after it.
     fn settle(&mut self) {
         let answered = |id: &ProxyId| self.proxies[id].answered;
         let oldest: Vec<_> = self.tables.iter().map(|t| t.readers.iter().map(answered).min()).collect();
@@ -592,10 +554,12 @@
         self.pairs.retain(|pair, _| self.pending.contains(&pair.0) && self.pending.contains(&pair.1));
     }
 
-    /// Tops the waiting lines up to half the backlog: drains, then binds, then the largest changes. Drains alone
-    /// use the reserve; overdue, they wait for no answer: guards the grace against stalls and slow channels.
+    /// Drains, then binds, then the largest changes, up to half the backlog; overdue drains may use more.
     fn send(&mut self) {
-        let (now, most, waiting) = (self.now, self.start.lines_waiting_most, self.waiting());
+        let (now, most) = (self.now, self.start.lines_waiting_most);
+        // Only answers and a very slow pace count: guards against slow channels, stalls and lost answers.
+        let left = (now - self.proven) * self.start.channel_rate * SLOWEST / 1000.0;
+        let waiting = (self.waits.values().sum::<f64>() - left).max(0.0);
         let head = self.start.message_overhead + 1.0;
         let reserve = (self.proxies.len() as f64 * (head + 1.0)).min(most * TOPPED.0 / 4.0);
         let paced = self.start.messages_over / (self.start.messages_most * ORDINARY.0);
@@ -610,7 +574,6 @@
         };
         let idle = self.pending.iter().filter(|key| self.entries[key].wanted != self.entries[key].sent);
         let mut changes = Vec::new();
-        // Holds come first in the order of keys.
         for key in idle.filter(due).copied().collect::<Vec<Key>>() {
             let (entry, ready) = (&self.entries[&key], !behind.contains(&key));
             if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
@@ -627,9 +590,7 @@
         let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.bound);
         let mut unbound: Vec<(f64, ProxyId)> = unbound.map(|(id, p)| (p.inv_per_second, *id)).collect();
         unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
-        if self.parts > 0 {
-            self.deal(&unbound);
-        }
+        self.deal(&unbound);
         for (_, id) in unbound {
             // One that could never fit goes alone, into a channel that is empty.
             let alone = waiting == 0.0 && self.message.is_empty();
@@ -674,7 +635,7 @@
         free
     }
 
-    /// Adds a line if there is room at every proxy that reads it; tells if any does, as unread ones cost nothing.
+    /// Adds a line if there is room at every proxy that reads it; tells if any does.
     fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
         let to = self.reach(key);
         if !to.is_empty() && !self.write(&to, 1.0, room, part) {
@@ -684,7 +645,7 @@
         entry.sent = entry.wanted;
         entry.owed = (!to.is_empty()).then_some(self.mark + 1);
         let level = entry.wanted;
-        // Any other further try, measured, multiplies an overload: a try given up goes on working at its worker.
+        // Any other try multiplies an overload: one given up goes on working at its worker.
         let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
         self.orders.push(match key {
             Key::Hold(worker) => Order::HoldBack { worker, out: level > 0.0 },
@@ -753,7 +714,6 @@
     (count > 0.0).then(|| sum / count)
 }
 
-/// The nearest power of a step: small changes are not written.
 fn stepped(value: f64) -> f64 {
     STEP.powf((value.ln() / STEP.ln()).round())
 }
