--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,7 +64,7 @@
     factor: f64,
     weighed: Ms,
     samples: VecDeque<Sample>,
-    serial: usize,
+    part: Option<usize>,
 }
 
 #[derive(Default)]
@@ -84,7 +84,7 @@
     open: Operation,
     /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
-    part: Option<(usize, usize)>,
+    part: Option<usize>,
     readers: BTreeSet<ProxyId>,
 }
 
@@ -93,7 +93,7 @@
         self.open.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
             && self.open.machines.as_ref().is_none_or(|machines| machines.contains(&worker.listed.machine))
             && (!self.open.own_zone || self.near == Some(worker.listed.zone))
-            && self.part.is_none_or(|(part, of)| worker.serial % of == part)
+            && (self.part.is_none() || self.part == worker.part)
     }
 }
 
@@ -215,9 +215,9 @@
     fn list(&mut self, mut listed: Listed) {
         let known = self.workers.values().map(|worker| worker.listed.weight);
         listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
-        let (now, samples, serial) = (self.now, VecDeque::new(), self.workers.len());
+        let (now, samples, part) = (self.now, VecDeque::new(), None);
         let (factor, weighed) = (1.0, f64::NEG_INFINITY);
-        let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, serial };
+        let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, part };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -328,16 +328,22 @@
         let (kinds, round) = lines.fold((0.0, 0.0), |sum, lines| (sum.0 + 1.0, sum.1 + lines as f64));
         let paid = self.start.lines_waiting_most * TOPPED.0 / self.expected() - self.start.message_overhead;
         let parts = (round / paid.max(LEAST_PART * kinds).max(1.0)) as usize;
-        if self.parts > 0 || round < paid || parts < 2 {
-            return;
+        if self.parts == 0 && round > paid && parts > 1 {
+            self.parts = parts;
+            for part in (0..parts).map(Some) {
+                let first = self.tables.len() as u16;
+                let lay = |t: Table| Table { id: TableId(first + t.id.0), part, ..t };
+                self.tables.extend(tables(&self.start).into_iter().map(lay));
+            }
+            self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
         }
-        self.parts = parts;
-        for part in 0..parts {
-            let first = self.tables.len() as u16;
-            let lay = |t: Table| Table { id: TableId(first + t.id.0), part: Some((part, parts)), ..t };
-            self.tables.extend(tables(&self.start).into_iter().map(lay));
+        // Who comes fills the part that lost most, so that none is left with the cold or with too few.
+        let mut usable = vec![0.0; self.parts];
+        self.workers.values().for_each(|w| w.part.map_or((), |part| usable[part] += self.usable(w)));
+        for worker in self.workers.values_mut().filter(|worker| worker.part.is_none()) {
+            worker.part = least(&usable);
+            worker.part.iter().for_each(|part| usable[*part] += worker.listed.weight);
         }
-        self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
     }
 
     fn expected(&self) -> f64 {
@@ -350,8 +356,10 @@
         self.proxies.values().for_each(|p| p.part.map_or((), |part| loads[part] += p.inv_per_second));
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
         let most = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64 / 2.0;
-        for (rate, id) in unbound.iter().filter(|(rate, _)| *rate <= most) {
-            let Some(least) = (0..self.parts).min_by(|a, b| loads[*a].total_cmp(&loads[*b])) else { return };
+        // One that could never be bound to the whole has a part, too.
+        let wide = self.workers.len() as f64 > self.start.lines_waiting_most * TOPPED.0;
+        for (rate, id) in unbound.iter().filter(|(rate, _)| wide || *rate <= most) {
+            let Some(least) = least(&loads) else { return };
             let proxy = self.proxies.get_mut(id).expect("a joined proxy");
             loads[*proxy.part.get_or_insert(least)] += rate;
         }
@@ -709,6 +717,10 @@
     tables
 }
 
+fn least(loads: &[f64]) -> Option<usize> {
+    (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
     (count > 0.0).then(|| sum / count)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -500,3 +500,52 @@
     }
     assert!(host.marks.len() > sent + 3, "the unread whole table changed each time");
 }
+
+#[test]
+fn strain_keeps_the_cold_out_before_busyness_tells_of_it() {
+    let mut host = Host::running(start(), 8, 2);
+    let met: Vec<Event> = (0..8).map(|worker| loaded(worker, 10.0, 6.0, 900.0, 0.5)).collect();
+    host.seconds(3, 2, &met);
+    let restart = host.now;
+    host.after(100.0, &[change(vec![restarted(8, restart)])]);
+    host.seconds(2, 2, &met);
+    assert_eq!(host.weight(8), 0.0);
+}
+
+#[test]
+fn a_heavy_proxy_has_the_whole_fleet_and_light_ones_a_part() {
+    let mut host = Host::with(start());
+    host.turn(&[list(ListKind::Remembered, (0..60).map(|worker| listed(worker, Phase::Ready)).collect())]);
+    let heavy = Event::Joined { proxy: ProxyId(0), fresh: true, inv_per_second: 900.0, zone: ZoneId(0) };
+    host.after(10.0, &(1..60).map(joined).chain([heavy]).collect::<Vec<_>>());
+    host.seconds(8, 60, &[]);
+    assert_eq!(host.binds.len(), 60);
+    assert_eq!(host.binds[&ProxyId(0)], vec![T]);
+    assert!((1..60).all(|proxy| host.binds[&ProxyId(proxy)] != vec![T]));
+}
+
+#[test]
+fn at_size_a_deploy_costs_lines_in_proportion_and_holds_every_drained_worker() {
+    let cost = |size: u32| {
+        let mut host = Host::running(start(), size, size as u16);
+        host.seconds(10, size as u16, &[]);
+        let leave: Vec<Listed> = (0..size / 4).map(|worker| listed(worker, Phase::Draining)).collect();
+        let mut lines = lines(&host.after(100.0, &[change(leave)]));
+        for _ in 0..10 {
+            lines += host.answer(size as u16).iter().filter(|o| matches!(o, Order::SetLine { .. })).count();
+            lines += host.after(300.0, &[]).iter().filter(|o| matches!(o, Order::SetLine { .. })).count();
+        }
+        assert!((0..size / 4).all(|worker| host.holds(worker)));
+        lines as f64 / f64::from(size)
+    };
+    assert!(cost(240) < 1.5 * cost(60), "{} {}", cost(240), cost(60));
+}
+
+#[test]
+fn odd_sizes_neither_panic_nor_stall() {
+    for (workers, proxies, most) in [(1, 1, 2000.0), (1, 40, 60.0), (400, 1, 100.0), (300, 3, 500.0)] {
+        let mut host = Host::running(Start { lines_waiting_most: most, ..start() }, workers, proxies);
+        host.seconds(20, proxies, &[]);
+        assert_eq!(host.binds.len(), usize::from(proxies), "{workers} workers, {most} lines");
+    }
+}
