--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,6 +12,7 @@
 const ORDINARY: (f64, f64) = (0.6, 0.2);
 const PATIENCE: f64 = 0.4;
 const LEAST_PART: f64 = 16.0;
+const UNEVEN: f64 = 1.2;
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
 const KEPT: (usize, usize) = (12, 3);
@@ -378,9 +379,9 @@
     }
 
     /// A share, or the rate at each proxy that lets the same part of all in; what bills more is shed less.
-    fn level(&self, table: &Table, op: usize) -> f64 {
+    fn level(&self, table: &Table, op: usize, let_in: f64) -> f64 {
         let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
-        let part = self.let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
+        let part = let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
         let share = self.start.level_kind == LevelKind::Share;
         let proxies = table.readers.iter().filter(|_| part < 1.0 && !share);
         let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
@@ -411,6 +412,8 @@
                 *came.entry(table.id).or_default() += demand;
             }
         }
+        let fleet = self.workers.values().map(|worker| self.usable(worker)).sum::<f64>();
+        let fleet = fleet / came.values().sum::<f64>().max(1e-9);
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| {
@@ -442,6 +445,11 @@
                     }
                 }
             }
+            // A part that strain, sickness or the cold left with less than its share lets less in.
+            let brought = group.iter().map(|table| came[&table.id]).sum::<f64>() * fleet / usable;
+            let short =
+                if self.strained && group[0].part.is_some() { (UNEVEN / brought).min(1.0) } else { 1.0 };
+            let let_in = self.let_in * short;
             for (table, taken) in group.iter().zip(taken) {
                 for (worker, taken) in workers.iter().zip(taken) {
                     let even = came[&table.id] * self.usable(worker) / usable;
@@ -450,7 +458,8 @@
                     let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
                     wanted.push((Key::Line(table.id, worker.listed.worker), weight));
                 }
-                let level = |op: &usize| (Key::Level(table.id, OpId(*op as u8)), self.level(table, *op));
+                let level =
+                    |op: &usize| (Key::Level(table.id, OpId(*op as u8)), self.level(table, *op, let_in));
                 wanted.extend(table.ops.iter().map(level));
             }
         }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -13,6 +13,7 @@
     pub held: BTreeSet<WorkerId>,
     pub binds: BTreeMap<ProxyId, Vec<TableId>>,
     pub admitted: Vec<(f64, Retry)>,
+    pub levels: BTreeMap<(TableId, OpId), f64>,
     pub marks: Vec<MarkId>,
     /// The times of the replies that wrote to proxies.
     pub messages: Vec<Ms>,
@@ -92,6 +93,7 @@
             held: BTreeSet::new(),
             binds: BTreeMap::new(),
             admitted: Vec::new(),
+            levels: BTreeMap::new(),
             marks: Vec::new(),
             messages: Vec::new(),
         }
@@ -125,7 +127,12 @@
                     self.held.remove(worker);
                 }
                 Order::Bind { table, proxy, .. } => self.binds.entry(*proxy).or_default().push(*table),
-                Order::Admit { level, retry, .. } => self.admitted.push((*level, *retry)),
+                Order::Admit { reach, ops, level, retry } => {
+                    self.admitted.push((*level, *retry));
+                    if let Reach::Table(table) = reach {
+                        self.levels.insert((*table, OpId(ops.trailing_zeros() as u8)), *level);
+                    }
+                }
                 Order::Mark { number, .. } => {
                     self.marks.push(*number);
                     self.messages.push(self.now);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -549,3 +549,18 @@
         assert_eq!(host.binds.len(), usize::from(proxies), "{workers} workers, {most} lines");
     }
 }
+
+#[test]
+fn a_part_left_with_the_cold_lets_less_in_while_strained() {
+    let mut host = Host::running(start(), 60, 60);
+    host.seconds(4, 60, &[]);
+    let part = *host.binds[&ProxyId(0)].last().unwrap();
+    let of: Vec<u32> = host.weights.keys().filter(|(table, _)| *table == part).map(|key| key.1 .0).collect();
+    let met: Vec<Event> = (0..60).map(|worker| sums(worker, 10.0, 3.0, 500.0)).collect();
+    let gone = of.iter().skip(2).map(|worker| listed(*worker, Phase::Gone)).collect();
+    host.after(100.0, &[change(gone)]);
+    host.seconds(6, 60, &met);
+    let levels = host.levels.iter().filter(|((_, op), _)| *op == OpId(0));
+    let least = levels.min_by(|a, b| a.1.total_cmp(b.1)).unwrap();
+    assert_eq!(least.0 .0, part, "{:?}", host.levels);
+}
