--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,5 @@
-//! All decisions of a juniperrail manager. A host makes one [`Brain`] for each manager at its start and calls
-//! [`Brain::turn`] with what happened since; the orders that come back take effect in the order written. The
-//! types of both stand in `crates/interface`. Same events, same orders; `docs/design.md` tells the mechanism.
+//! All decisions of a juniperrail manager. A host calls [`Brain::turn`] with what happened; the orders that
+//! come back take effect as written. Their types: `crates/interface`; the mechanism: `docs/design.md`.
 
 use juniperrail_interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,7 +11,7 @@
 const ORDINARY: (f64, f64) = (0.6, 0.2);
 const PATIENCE: f64 = 0.4;
 const LEAST_PART: f64 = 16.0;
-const UNEVEN: f64 = 1.2;
+const UNEVEN: (f64, f64) = (0.8, 0.5);
 const RAMP: f64 = 4.0;
 /// Reports kept of a worker and of what came to a proxy; tries that are evidence enough; the least lean.
 const KEPT: (usize, usize) = (12, 3);
@@ -83,7 +82,6 @@
     id: TableId,
     ops: Vec<usize>,
     open: Operation,
-    /// Only proxies of this zone; and only its workers if no others may serve them.
     near: Option<ZoneId>,
     part: Option<usize>,
     readers: BTreeSet<ProxyId>,
@@ -109,10 +107,8 @@
     entries: BTreeMap<Key, Entry>,
     pending: BTreeSet<Key>,
     parts: usize,
-    /// What is answered before what is sent, and since when.
     pairs: BTreeMap<(Key, Key), Ms>,
     mark: u64,
-    /// Lines by mark and proxy that no answer has proven to have left, and the last proof; this reply's.
     waits: BTreeMap<(u64, ProxyId), f64>,
     proven: Ms,
     message: BTreeMap<ProxyId, f64>,
@@ -172,9 +168,7 @@
                 let full = *kind != ListKind::Changes;
                 let gone = self.workers.values().filter(|w| full && !listed.contains(&w.listed.worker));
                 let gone = gone.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() });
-                let mut news: Vec<Listed> = gone.chain(workers.iter().cloned()).collect();
-                // Counted out to the parts in this order, each zone and machine is spread over all of them.
-                news.sort_by_key(|listed| (listed.zone, listed.machine));
+                let news: Vec<Listed> = gone.chain(workers.iter().cloned()).collect();
                 news.into_iter().for_each(|listed| self.list(listed));
             }
             Event::Woken { .. } => self.wake = true,
@@ -188,7 +182,6 @@
                 self.tables.iter_mut().for_each(|table| _ = table.readers.remove(proxy));
             }
             Event::Answered { mark, proxy, .. } => {
-                // It proves that all messages before its own left the channel, whoever they went to.
                 let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(mark.0)) & 0xffff);
                 let Some(known) = self.proxies.get_mut(proxy).filter(|p| p.answered < mark) else { return };
                 known.answered = mark;
@@ -212,7 +205,6 @@
         }
     }
 
-    /// Takes an entry of the list; a start newer than known makes a worker a new one.
     fn list(&mut self, mut listed: Listed) {
         let known = self.workers.values().map(|worker| worker.listed.weight);
         listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
@@ -242,8 +234,7 @@
         Sample { at: since, tries: sum(|s| s.tries), bad: sum(|s| s.bad), took: sum(|s| s.took), busy }
     }
 
-    /// A worker whose tries cost more than its peers' or whose cores are busier loses weight whatever the
-    /// cause, and regains it as its small part goes well. A fleet bad as a whole has no bad worker.
+    /// Who costs more than its peers or is busier loses weight whatever the cause, bounded in share of fleet.
     fn weigh(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // A bad try counts as if it had taken twice the longest latency objective.
@@ -312,7 +303,6 @@
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
         let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
-            // Cuts in a row answer one jam: its reports come late.
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
@@ -320,8 +310,7 @@
         }
     }
 
-    /// Where a round of the whole table to all its proxies is over half the backlog, the fleet is laid in
-    /// parts as wide as such a round can be paid for, each with tables of its own.
+    /// Where a round of the whole table is over half the backlog, the fleet is laid in parts that fit it.
     fn split(&mut self) {
         let present = || self.workers.values().filter(|worker| worker.listed.phase != Phase::Gone);
         let read = |t: &&Table| t.near.is_none_or(|near| Some(&near) == self.start.zones.first());
@@ -357,7 +346,6 @@
         self.proxies.values().for_each(|p| p.part.map_or((), |part| loads[part] += p.inv_per_second));
         let rates = self.proxies.values().map(|proxy| proxy.inv_per_second);
         let most = mean(rates).unwrap_or(0.0) * self.expected() / self.parts as f64 / 2.0;
-        // One that could never be bound to the whole has a part, too.
         let wide = self.workers.len() as f64 > self.start.lines_waiting_most * TOPPED.0;
         for (rate, id) in unbound.iter().filter(|(rate, _)| wide || *rate <= most) {
             let Some(least) = least(&loads) else { return };
@@ -378,7 +366,6 @@
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
-    /// A share, or the rate at each proxy that lets the same part of all in; what bills more is shed less.
     fn level(&self, table: &Table, op: usize, let_in: f64) -> f64 {
         let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
         let part = let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
@@ -412,8 +399,7 @@
                 *came.entry(table.id).or_default() += demand;
             }
         }
-        let fleet = self.workers.values().map(|worker| self.usable(worker)).sum::<f64>();
-        let fleet = fleet / came.values().sum::<f64>().max(1e-9);
+        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / came.values().sum::<f64>();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| {
@@ -446,10 +432,8 @@
                 }
             }
             // A part that strain, sickness or the cold left with less than its share lets less in.
-            let brought = group.iter().map(|table| came[&table.id]).sum::<f64>() * fleet / usable;
-            let short =
-                if self.strained && group[0].part.is_some() { (UNEVEN / brought).min(1.0) } else { 1.0 };
-            let let_in = self.let_in * short;
+            let short = self.strained && group[0].part.is_some();
+            let let_in = self.let_in * if short { (UNEVEN.0 / (each * fleet)).min(1.0) } else { 1.0 };
             for (table, taken) in group.iter().zip(taken) {
                 for (worker, taken) in workers.iter().zip(taken) {
                     let even = came[&table.id] * self.usable(worker) / usable;
@@ -459,7 +443,7 @@
                     wanted.push((Key::Line(table.id, worker.listed.worker), weight));
                 }
                 let level =
-                    |op: &usize| (Key::Level(table.id, OpId(*op as u8)), self.level(table, *op, let_in));
+                    |&op: &usize| (Key::Level(table.id, OpId(op as u8)), self.level(table, op, let_in));
                 wanted.extend(table.ops.iter().map(level));
             }
         }
@@ -478,7 +462,8 @@
         let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
         let multiple = self.start.overload_factor;
         let spared = if self.strained && 2.0 * warm > all { 0.0 } else { (multiple / 4.0).min(1.0) };
-        spared * (usable / all * multiple / 2.0).min(1.0)
+        let parts = if self.strained && self.parts > 0 { UNEVEN.1 } else { 1.0 };
+        parts * spared * (usable / all * multiple / 2.0).min(1.0)
     }
 
     /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
@@ -495,8 +480,7 @@
         self.entries.get(&Key::Hold(id)).is_some_and(|hold| hold.sent > 0.0)
     }
 
-    /// Lines go behind the hold, a hold is lifted behind the line that eases its worker in, and a table's
-    /// last sound line is held behind its replacements.
+    /// A removal goes behind the hold, a lift behind the easing line, a last sound line behind replacements.
     fn order(&mut self, key: Key, sound: &[bool]) {
         let removed = self.entries[&key].wanted == 0.0;
         match key {
@@ -580,7 +564,6 @@
         let head = self.start.message_overhead + 1.0;
         let reserve = (self.proxies.len() as f64 * (head + 1.0)).min(most * TOPPED.0 / 4.0);
         let paced = self.start.messages_over / (self.start.messages_most * ORDINARY.0);
-        // In parts, heads would take most of the channel: ordinary changes gather longer.
         let heads = self.expected() * head * 1000.0 / (self.start.channel_rate * ORDINARY.1);
         let gap = paced.max(self.start.report_period / 2.0).max(if self.parts > 0 { heads } else { 0.0 });
         let behind: BTreeSet<Key> = self.pairs.keys().map(|pair| pair.1).collect();
@@ -633,7 +616,6 @@
         }
     }
 
-    /// Writes so many lines to each proxy if all fit, within `part` of their limit of messages.
     fn write(&mut self, to: &BTreeSet<ProxyId>, lines: f64, room: f64, part: f64) -> bool {
         let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
         let head = self.start.message_overhead + 1.0;
@@ -652,7 +634,6 @@
         free
     }
 
-    /// Adds a line if there is room at every proxy that reads it; tells if any does.
     fn add(&mut self, key: Key, room: f64, part: f64) -> bool {
         let to = self.reach(key);
         if !to.is_empty() && !self.write(&to, 1.0, room, part) {
@@ -707,7 +688,6 @@
     }
 }
 
-/// One table for each set of workers open to an operation; one a zone where only its own may serve.
 fn tables(start: &Start) -> Vec<Table> {
     let mut tables: Vec<Table> = Vec::new();
     for (place, op) in start.operations.iter().enumerate().take(if start.slices > 0 { 0 } else { 32 }) {
