--- a/src/brain.rs
+++ b/src/brain.rs
@@ -286,7 +286,7 @@
         let busy = mean(met.iter().filter_map(|met| met.busy));
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
-        // Idle cores are no overload: answers get lost, clients leave. Without parts they only raise by a tenth.
+        // Idle cores are no overload: answers get lost, clients leave. Without parts they raise by a tenth.
         let idle = busy.filter(|b| *b < idle).map_or(0.0, |_| [SHED_IDLE.1, SHED.1][self.parts.min(1)]);
         let met = late.min(SHED.1 * (1.0 - lost).powi(2)).max(idle);
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
