--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts decision modules on the simulator's text wire: one isolated brain for each instance.
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -9,7 +8,8 @@
 
 use juniperrail::Brain;
 use juniperrail_interface::{Event, Ms};
-use wire::{Fault, Line, Names};
+use juniperrail_start::Names;
+use wire::{Fault, Line};
 
 struct Instance {
     names: Names,
@@ -92,7 +92,9 @@
         let number = current.ok_or_else(|| line.fault("comes before any AT"))?;
         if name == "BORN" {
             let seed = line.integer("init-seed")?;
-            let (start, names) = settings::decode(line.rest("info")?).map_err(|why| line.fault(why))?;
+            let info = serde_json::from_str(line.rest("info")?);
+            let info = info.map_err(|err| line.fault(format!("info is no JSON: {err}")))?;
+            let (start, names) = juniperrail_start::decode(&info).map_err(|why| line.fault(why))?;
             let brain = Brain::new(now, seed, start);
             instances.insert(number, Instance { names, brain: Some(brain), heard: Vec::new(), called: true });
             continue;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,10 +1,10 @@
 //! The wire's lines, to events and from orders.
 
-use std::collections::HashMap;
 use std::fmt::{self, Write};
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use juniperrail_interface::*;
+use juniperrail_start::Names;
 
 /// What was wrong with the input, and in which line.
 #[derive(Debug)]
@@ -25,43 +25,6 @@
     }
 }
 
-/// Names that the wire spells out and the decisions know by number, in order of their appearance.
-#[derive(Default)]
-pub struct Named {
-    ids: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Named {
-    pub fn id(&mut self, name: &str) -> u32 {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let id = self.names.len() as u32;
-        self.names.push(name.to_string());
-        self.ids.insert(name.to_string(), id);
-        id
-    }
-}
-
-#[derive(Default)]
-pub struct Names {
-    pub workers: Named,
-    pub zones: Named,
-    pub machines: Named,
-    pub ops: Named,
-}
-
-impl Names {
-    pub fn zone(&mut self, name: &str) -> ZoneId {
-        ZoneId(self.zones.id(name) as u16)
-    }
-
-    pub fn machine(&mut self, name: &str) -> MachineId {
-        MachineId(self.machines.id(name) as u16)
-    }
-}
-
 /// One line of input, taken apart value by value.
 pub struct Line<'a> {
     at: usize,
@@ -149,8 +112,7 @@
 
     fn op(&mut self, names: &Names) -> Result<OpId, Fault> {
         let name = self.word("profile")?;
-        let id = names.ops.ids.get(name).ok_or_else(|| self.fault(format!("unknown class {name:?}")))?;
-        Ok(OpId(*id as u8))
+        names.op(name).ok_or_else(|| self.fault(format!("unknown class {name:?}")))
     }
 
     fn proxy(&mut self) -> Result<ProxyId, Fault> {
@@ -191,7 +153,7 @@
         }
         "TIMEOUT_FIRED" => Event::Woken { handle: line.word("handle")?.to_string() },
         "SAMPLED" => Event::Probed {
-            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            worker: names.worker(line.word("worker")?),
             ending: match line.word("reason")? {
                 "GOOD" => Ending::Good,
                 "BAD" => Ending::Errored,
@@ -222,7 +184,7 @@
         "STREAM_DOWN" => Event::Left { proxy: line.proxy()? },
         "STATS" => Event::WorkerSums {
             zone: names.zone(line.word("site")?),
-            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            worker: names.worker(line.word("worker")?),
             tries: line.number("number")?,
             bad: line.number("bad")?,
             mean: line.maybe_number("took-ms")?.unwrap_or(0.0),
@@ -254,7 +216,7 @@
         }
         "IN_STORE" => Event::SliceHolds {
             slice: line.integer("tbl").map(TableId)?,
-            worker: WorkerId(names.workers.id(line.word("worker")?)),
+            worker: names.worker(line.word("worker")?),
             weight: line.maybe_number("size")?.unwrap_or(1.0),
         },
         "CONFIRMED" => Event::Answered {
@@ -282,7 +244,7 @@
             "OUT" => Phase::Gone,
             other => return Err(line.fault(format!("unknown phase {other:?}"))),
         },
-        worker: WorkerId(names.workers.id(line.word("worker")?)),
+        worker: names.worker(line.word("worker")?),
         booted: line.maybe_number("boot-time-ms")?.filter(|&at| at != 0.0),
         machine: names.machine(line.word("shape")?),
         zone: names.zone(line.word("site")?),
@@ -293,7 +255,7 @@
 }
 
 pub fn write(reply: &mut String, order: &Order, names: &Names) {
-    let worker = |id: &WorkerId| &names.workers.names[id.0 as usize];
+    let worker = |id: &WorkerId| names.workers.name(id.0);
     let written = match order {
         Order::Wake { after, handle } => writeln!(reply, "WAKE_ME {after} {handle}"),
         Order::Probe { worker: id } => writeln!(reply, "ASK_LOAD {}", worker(id)),
