--- /dev/null
+++ b/crates/manager/src/launch.rs
@@ -0,0 +1,84 @@
+//! What a manager is told at its start: the `PROXY_*` variables and the JSON file that one of them names.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use juniperrail_interface::Start;
+use juniperrail_start::Names;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::discovery::Listing;
+
+pub struct Launch {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that this process may hold.
+    pub sockets: usize,
+    /// The list as last held; it may be old.
+    pub known: Option<Listing>,
+    pub start: Start,
+    pub names: Names,
+    pub tick: Duration,
+    pub dial_within: Duration,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<Listing>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+impl Launch {
+    pub fn from_env() -> Result<Launch, String> {
+        let told = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+        let path = told("PROXY_CONFIG").ok_or("PROXY_CONFIG names no file")?;
+        let json = std::fs::read_to_string(&path).map_err(|why| format!("{path} cannot be read: {why}"))?;
+        Launch::new(&json, told).map_err(|why| format!("{path}: {why}"))
+    }
+
+    /// `told`: what the variables say; they go before the file.
+    pub fn new(json: &str, told: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
+        let file: File = serde_json::from_str(json).map_err(|why| why.to_string())?;
+        let address = |variable: &str, value: Option<String>| {
+            let value = told(variable).or(value).ok_or_else(|| format!("{variable} is told nowhere"))?;
+            value.parse().map_err(|_| format!("{variable} is no address with a port: {value:?}"))
+        };
+        let (start, names) = juniperrail_start::decode(&file.settings)?;
+        let span = |path: &str| match juniperrail_start::number(&file.settings, path)? {
+            span if span >= 0.0 && span.is_finite() => Ok(Duration::from_secs_f64(span / 1000.0)),
+            span => Err(format!("the setting {path} is no span: {span}")),
+        };
+        Ok(Launch {
+            name: told("PROXY_NAME").or(file.name).ok_or("PROXY_NAME is told nowhere")?,
+            listen: address("PROXY_LISTEN", file.listen)?,
+            discovery: address("PROXY_DISCOVERY", file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| format!("no seed: {:?}", file.seed))?,
+            sockets: file.limits.sockets,
+            known: file.known,
+            start,
+            names,
+            tick: span("tick-ms")?,
+            dial_within: span("allowed.dial-timeout-ms")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/manager/src/text.rs
@@ -0,0 +1,176 @@
+//! The line protocol of proxies and collectors: bytes to typed messages and back. Pure.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+
+use bytes::Bytes;
+use juniperrail_interface::*;
+
+/// No message is longer; one before the introduction is far shorter.
+pub const LONGEST: usize = 1 << 20;
+pub const LONGEST_FIRST: usize = 4096;
+/// One message may come in so many parts.
+pub const PARTS: usize = 64;
+pub const ALIVE: Bytes = Bytes::from_static(b"alive\r\n");
+
+/// What a peer said. Names stay names: who they belong to is known elsewhere.
+#[derive(Debug, PartialEq)]
+pub enum Message {
+    Probe,
+    Agent { zone: String },
+    Hello { proxy: u16, zone: String, inv_per_second: f64, fresh: bool },
+    Report(Report),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Report {
+    Outcomes { zone: String, worker: String, tries: f64, bad: f64, mean: Ms, over: Ms, load: Load },
+    Demand { proxy: u16, op: String, invs: f64, unanswered: f64, over: Ms },
+    Ack { proxy: u16, mark: u16, took: Ms },
+}
+
+/// One part of a message to a proxy; `ops` empty means all of them.
+#[derive(Debug, Default, PartialEq)]
+pub struct Part<'a> {
+    pub ops: Vec<&'a str>,
+    pub whole: bool,
+    pub lines: Vec<(&'a str, f64)>,
+    pub level: Option<(f64, Retry)>,
+    pub out: Vec<&'a str>,
+    pub back: Vec<&'a str>,
+    pub mark: Option<MarkId>,
+}
+
+struct Words<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Words<'a> {
+    fn text(&self, name: &str) -> Result<&'a str, String> {
+        self.0.get(name).copied().ok_or_else(|| format!("{name} is missing"))
+    }
+
+    fn owned(&self, name: &str) -> Result<String, String> {
+        self.text(name).map(str::to_string)
+    }
+
+    /// A figure as the proxies mean them: finite and not below 0.
+    fn figure(&self, name: &str) -> Result<f64, String> {
+        let text = self.text(name)?;
+        let figure = text.parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0);
+        figure.ok_or_else(|| format!("{name} is no figure: {text:?}"))
+    }
+
+    fn number(&self, name: &str) -> Result<u16, String> {
+        let text = self.text(name)?;
+        text.parse().map_err(|_| format!("{name} is no fitting whole number: {text:?}"))
+    }
+
+    fn load(&self) -> Result<Load, String> {
+        let mut load = Load::default();
+        let pairs = self.0.get("metrics").copied().unwrap_or("");
+        match pairs.split(',').filter(|pair| !pair.is_empty()).try_for_each(|pair| metric(&mut load, pair)) {
+            Some(()) => Ok(load),
+            None => Err(format!("metrics holds what is no pair: {pairs:?}")),
+        }
+    }
+}
+
+fn metric(load: &mut Load, pair: &str) -> Option<()> {
+    let (name, value) = pair.split_once(':')?;
+    let value = Some(value.trim().parse().ok().filter(|value: &f64| value.is_finite())?);
+    match name.trim() {
+        "inflight" => load.in_hand = value,
+        "queue" => load.waiting = value,
+        "util" => load.busy = value,
+        "latency_ms" => load.recent = value,
+        "qps" => load.per_second = value,
+        "eps" => load.errors_per_second = value,
+        _ => {}
+    }
+    Some(())
+}
+
+/// A load report as a worker's body carries it.
+pub fn load(body: &[u8]) -> Option<Load> {
+    let mut load = Load::default();
+    let pairs = std::str::from_utf8(body).ok()?.trim();
+    pairs.split(',').filter(|pair| !pair.is_empty()).try_for_each(|pair| metric(&mut load, pair))?;
+    Some(load)
+}
+
+/// Reads one line, its end taken off.
+pub fn read(line: &[u8]) -> Result<Message, String> {
+    let line = std::str::from_utf8(line).map_err(|_| "a line is no text".to_string())?;
+    let mut words = line.split(' ').filter(|word| !word.is_empty());
+    let kind = words.next().unwrap_or("");
+    let pairs = words.map(|word| word.split_once('=').ok_or_else(|| format!("{word:?} has no value")));
+    let words = Words(pairs.collect::<Result<_, _>>()?);
+    Ok(match kind {
+        "probe" => Message::Probe,
+        "agent" => Message::Agent { zone: words.owned("locality")? },
+        "hello" => Message::Hello {
+            proxy: words.number("node")?,
+            zone: words.owned("locality")?,
+            inv_per_second: if words.0.contains_key("w") { words.figure("w")? } else { 0.0 },
+            fresh: words.0.get("cold").is_some_and(|cold| *cold == "1"),
+        },
+        "outcomes" => Message::Report(Report::Outcomes {
+            zone: words.owned("locality")?,
+            worker: words.owned("endpoint")?,
+            tries: words.figure("total")?,
+            bad: words.figure("errors")?,
+            mean: if words.0.contains_key("rtt") { words.figure("rtt")? } else { 0.0 },
+            over: words.figure("interval")?,
+            load: words.load()?,
+        }),
+        "demand" => Message::Report(Report::Demand {
+            proxy: words.number("node")?,
+            op: words.owned("route")?,
+            invs: words.figure("total")?,
+            unanswered: words.figure("errors")?,
+            over: words.figure("interval")?,
+        }),
+        "ack" => Message::Report(Report::Ack {
+            proxy: words.number("node")?,
+            mark: words.number("nonce")?,
+            took: if words.0.contains_key("latency") { words.figure("latency")? } else { 0.0 },
+        }),
+        other => return Err(format!("the kind {other:?} is unknown")),
+    })
+}
+
+/// Writes the parts of one message, to be sent whole and at once.
+pub fn write(parts: &[Part<'_>]) -> Bytes {
+    debug_assert!(parts.len() <= PARTS);
+    let mut text = String::new();
+    for (place, part) in parts.iter().enumerate() {
+        text.push_str("push");
+        let mut list = |name: &str, apart: &str, entries: &[&str]| {
+            if !entries.is_empty() {
+                _ = write!(text, " {name}={}", entries.join(apart));
+            }
+        };
+        list("classes", "+", &part.ops);
+        list("whole", "", if part.whole { &["1"] } else { &[] });
+        let lines: Vec<String> =
+            part.lines.iter().map(|(worker, weight)| format!("{worker}:{weight}")).collect();
+        list("lines", ",", &lines.iter().map(String::as_str).collect::<Vec<_>>());
+        if let Some((level, retry)) = part.level {
+            let retry = match retry {
+                Retry::Never => "0",
+                Retry::IfUnrun => "1",
+                Retry::OnceOnFailure => "2",
+                Retry::TwiceOnFailure => "3",
+            };
+            list("level", "", &[&level.to_string()]);
+            list("retry", "", &[retry]);
+        }
+        list("out", ",", &part.out);
+        list("back", ",", &part.back);
+        if let Some(mark) = part.mark {
+            list("ticket", "", &[&mark.0.to_string()]);
+        }
+        list("more", "", if place + 1 < parts.len() { &["1"] } else { &[] });
+        text.push_str("\r\n");
+    }
+    text.into()
+}
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -29,6 +29,14 @@
         self.ids.get(name).copied()
     }
 
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     pub fn name(&self, id: u32) -> &str {
         &self.names[id as usize]
     }
