Silence is told after a report period and the worst transit; sums in the log

A false alarm costs one bind. Joins, leaves and odd lines are logged in sums, once a report period: a mass reconnect wrote one line a proxy.

--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -88,6 +88,38 @@
     }
 }
 
+/// What is logged in sums, at most once a report period, so that a storm of it floods no log.
+#[derive(Default)]
+struct Tally {
+    joined: usize,
+    left: usize,
+    odd: usize,
+    last_odd: String,
+    logged: Ms,
+}
+
+impl Tally {
+    fn odd(&mut self, why: String) {
+        (self.odd, self.last_odd) = (self.odd + 1, why);
+    }
+
+    fn count(&mut self, heard: &[Event]) {
+        self.joined += heard.iter().filter(|event| matches!(event, Event::Joined { .. })).count();
+        self.left += heard.iter().filter(|event| matches!(event, Event::Left { .. })).count();
+    }
+
+    fn log(&mut self, now: Ms, open: usize) {
+        let Tally { joined, left, odd, last_odd, .. } = std::mem::take(self);
+        self.logged = now;
+        if joined + left > 0 {
+            log::info!("{joined} proxies joined, {left} left, {open} are here");
+        }
+        if odd > 0 {
+            log::warn!("{odd} lines passed over, the last: {last_odd}");
+        }
+    }
+}
+
 /// Only the wakes and silences due sooner matter.
 const LONGEST_SLEEP: Ms = 3_600_000.0;
 
@@ -105,9 +137,7 @@
     addresses: BTreeMap<WorkerId, SocketAddr>,
     wakes: Vec<(Ms, String)>,
     heard: Vec<Event>,
-    /// Lines passed over since the last time that was logged.
-    odd: u64,
-    odd_logged: Ms,
+    tally: Tally,
     probes: Probes,
     news: mpsc::WeakSender<News>,
     afresh: Rc<Notify>,
@@ -131,8 +161,7 @@
             addresses: BTreeMap::new(),
             wakes: Vec::new(),
             heard: Vec::new(),
-            odd: 0,
-            odd_logged: f64::NEG_INFINITY,
+            tally: Tally::default(),
             probes,
             news: news.downgrade(),
             afresh,
@@ -185,25 +214,15 @@
             }
             News::Said(from, report) => match self.report(from, report) {
                 Ok(event) => self.heard.push(event),
-                Err(why) => self.odd(&why),
+                Err(why) => self.tally.odd(why),
             },
-            News::Odd(why) => self.odd(&why),
+            News::Odd(why) => self.tally.odd(why),
             News::Probed(worker, Found { ending, took, load }) => {
                 self.heard.push(Event::Probed { worker, ending, took, load });
             }
         }
     }
 
-    /// One log line a report period, whatever comes.
-    fn odd(&mut self, why: &str) {
-        self.odd += 1;
-        let now = self.clock.now();
-        if now >= self.odd_logged + self.start.report_period {
-            log::warn!("{} lines passed over, the last: {why}", self.odd);
-            (self.odd, self.odd_logged) = (0, now);
-        }
-    }
-
     fn list(&mut self, listing: &Listing, kind: ListKind) {
         let entries = listing.entries(&mut self.names);
         log::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
@@ -320,12 +339,9 @@
 
     fn turn_by(&mut self, decide: impl FnOnce(&mut Brain, Ms, &[Event]) -> Vec<Order>) {
         let (now, heard) = (self.clock.now(), std::mem::take(&mut self.heard));
-        let count = |of: fn(&Event) -> bool| heard.iter().filter(|event| of(event)).count();
-        let joined = count(|event| matches!(event, Event::Joined { .. }));
-        let left = count(|event| matches!(event, Event::Left { .. }));
-        if joined + left > 0 {
-            let open = self.streams.values().filter(|stream| !stream.silent).count();
-            log::info!("{joined} proxies joined, {left} left, {open} in all");
+        self.tally.count(&heard);
+        if now >= self.tally.logged + self.start.report_period {
+            self.tally.log(now, self.streams.values().filter(|stream| !stream.silent).count());
         }
         match catch_unwind(AssertUnwindSafe(|| decide(&mut self.brain, now, &heard))) {
             Ok(orders) => self.hand_out(now, orders),
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -77,8 +77,8 @@
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| format!("no seed: {:?}", file.seed))?,
             sockets: file.limits.sockets,
             known: file.known,
-            // A report was due since, and an answer, each as late as they may come.
-            silent_after: start.report_period + 2.0 * start.transit_worst,
+            // An answer was due since, and if the channel is slow a report at least.
+            silent_after: start.report_period + start.transit_worst,
             start,
             names,
             tick: span("tick-ms")?,
