--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -17,7 +17,7 @@
 
 use crate::discovery::Listing;
 use crate::launch::Launch;
-use crate::plane::Plane;
+use crate::plane::{Parcel, Plane};
 use crate::probes::{Found, Probes};
 use crate::text::Report;
 
@@ -32,7 +32,8 @@
         hello: Hello,
         orders: mpsc::Sender<Bytes>,
     },
-    Left(StreamId),
+    /// A connection of whatever kind is over, and why if not by itself.
+    Ended(StreamId, Option<String>),
     /// From a proxy's own stream, or through a collector.
     Said(Option<StreamId>, Report),
     Probed(WorkerId, Found),
@@ -88,34 +89,45 @@
     }
 }
 
+/// How often a thing happened, and the last time's particulars.
+#[derive(Default)]
+struct Count(usize, String);
+
+impl Count {
+    fn add(&mut self, last: String) {
+        (self.0, self.1) = (self.0 + 1, last);
+    }
+}
+
 /// What is logged in sums, at most once a report period, so that a storm of it floods no log.
 #[derive(Default)]
 struct Tally {
     joined: usize,
     left: usize,
-    odd: usize,
-    last_odd: String,
+    broke: Count,
+    silent: Count,
+    spoke: usize,
+    odd: Count,
     logged: Ms,
 }
 
 impl Tally {
-    fn odd(&mut self, why: String) {
-        (self.odd, self.last_odd) = (self.odd + 1, why);
-    }
-
-    fn count(&mut self, heard: &[Event]) {
-        self.joined += heard.iter().filter(|event| matches!(event, Event::Joined { .. })).count();
-        self.left += heard.iter().filter(|event| matches!(event, Event::Left { .. })).count();
-    }
-
     fn log(&mut self, now: Ms, open: usize) {
-        let Tally { joined, left, odd, last_odd, .. } = std::mem::take(self);
-        self.logged = now;
-        if joined + left > 0 {
-            log::info!("{joined} proxies joined, {left} left, {open} are here");
+        let tally = std::mem::replace(self, Tally { logged: now, ..Tally::default() });
+        if tally.joined + tally.left > 0 {
+            log::info!("{} proxies joined, {} left, {open} are here", tally.joined, tally.left);
         }
+        let Count(broke, last) = tally.broke;
+        if broke > 0 {
+            log::info!("{broke} connections broke, the last: {last}");
+        }
+        let Count(silent, last) = tally.silent;
+        if silent + tally.spoke > 0 {
+            log::warn!("{silent} proxies fell silent, {} spoke again, the last: {last}", tally.spoke);
+        }
+        let Count(odd, last) = tally.odd;
         if odd > 0 {
-            log::warn!("{odd} lines passed over, the last: {last_odd}");
+            log::warn!("{odd} lines passed over, the last: {last}");
         }
     }
 }
@@ -208,15 +220,16 @@
                 self.list(&listing, kind);
             }
             News::Joined { stream, hello, orders } => self.join(stream, hello, orders),
-            News::Left(stream) => {
+            News::Ended(stream, why) => {
+                why.into_iter().for_each(|why| self.tally.broke.add(why));
                 let left = self.streams.iter().find(|(_, known)| known.id == stream).map(|(id, _)| *id);
                 left.into_iter().for_each(|proxy| self.leave(proxy));
             }
             News::Said(from, report) => match self.report(from, report) {
                 Ok(event) => self.heard.push(event),
-                Err(why) => self.tally.odd(why),
+                Err(why) => self.tally.odd.add(why),
             },
-            News::Odd(why) => self.tally.odd(why),
+            News::Odd(why) => self.tally.odd.add(why),
             News::Probed(worker, Found { ending, took, load }) => {
                 self.heard.push(Event::Probed { worker, ending, took, load });
             }
@@ -282,7 +295,8 @@
         for proxy in due {
             let stream = self.streams.get_mut(&proxy).expect("a known stream");
             let (since, owed) = (now - stream.spoke, stream.owed.len());
-            log::warn!("proxy {} is silent for {since:.0} ms and owes {owed} answers", proxy.0);
+            let last = format!("proxy {}, no word for {since:.0} ms, {owed} answers owed", proxy.0);
+            self.tally.silent.add(last);
             stream.silent = true;
             stream.owed.clear();
             self.left(proxy);
@@ -299,7 +313,7 @@
         log::trace!("proxy {} speaks after {since:.0} ms, owing for {owes:.0} ms", proxy.0);
         stream.spoke = now;
         if std::mem::take(&mut stream.silent) {
-            log::warn!("proxy {} speaks again", proxy.0);
+            self.tally.spoke += 1;
             self.joined(proxy, false);
         }
         true
@@ -339,12 +353,17 @@
 
     fn turn_by(&mut self, decide: impl FnOnce(&mut Brain, Ms, &[Event]) -> Vec<Order>) {
         let (now, heard) = (self.clock.now(), std::mem::take(&mut self.heard));
-        self.tally.count(&heard);
+        self.tally.joined += heard.iter().filter(|event| matches!(event, Event::Joined { .. })).count();
+        self.tally.left += heard.iter().filter(|event| matches!(event, Event::Left { .. })).count();
         if now >= self.tally.logged + self.start.report_period {
             self.tally.log(now, self.streams.values().filter(|stream| !stream.silent).count());
         }
-        match catch_unwind(AssertUnwindSafe(|| decide(&mut self.brain, now, &heard))) {
-            Ok(orders) => self.hand_out(now, orders),
+        let turn = AssertUnwindSafe(|| {
+            let orders = decide(&mut self.brain, now, &heard);
+            (self.plane.messages(&orders, &self.names), orders)
+        });
+        match catch_unwind(turn) {
+            Ok((parcels, orders)) => self.hand_out(now, parcels, orders),
             Err(_) => self.restart(now),
         }
     }
@@ -365,8 +384,8 @@
         self.wakes.push((now, "anew".into()));
     }
 
-    fn hand_out(&mut self, now: Ms, orders: Vec<Order>) {
-        for parcel in self.plane.messages(&orders, &self.names) {
+    fn hand_out(&mut self, now: Ms, parcels: Vec<Parcel>, orders: Vec<Order>) {
+        for parcel in parcels {
             let stream = self.streams.get_mut(&parcel.proxy).expect("a joined proxy has a stream");
             stream.owed.extend(parcel.mark.map(|mark| (mark, now)));
             log::trace!("to {}: {} lines, {:?}", parcel.proxy.0, parcel.lines, parcel.bytes);
@@ -510,7 +529,7 @@
         let heard = town.turn();
         assert!(matches!(heard[..], [LEFT, Event::Joined { .. }]), "{heard:?}");
         town.ack(old, 1);
-        town.0.hear(News::Left(old));
+        town.0.hear(News::Ended(old, None));
         assert!(town.0.heard.is_empty());
         town.ack(new, 1);
         assert!(town.0.heard.is_empty(), "mark 1 went over the old stream");
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -56,14 +56,12 @@
 impl Listing {
     /// The entries that can be read, each with its address; the others are passed over with a log line.
     pub fn entries(&self, names: &mut Names) -> Vec<(Listed, Option<SocketAddr>)> {
-        let mut entries = Vec::new();
-        for raw in &self.instances {
-            match entry(raw.get(), names) {
-                Ok(entry) => entries.push(entry),
-                Err(why) => log::warn!("list {}: an entry is passed over: {why}", self.version),
-            }
+        let read: Vec<_> = self.instances.iter().map(|raw| entry(raw.get(), names)).collect();
+        let odd: Vec<&String> = read.iter().filter_map(|entry| entry.as_ref().err()).collect();
+        if let Some(last) = odd.last() {
+            log::warn!("list {}: {} entries are passed over, the last: {last}", self.version, odd.len());
         }
-        entries
+        read.into_iter().flatten().collect()
     }
 }
 
@@ -117,7 +115,7 @@
             // From a 32nd of a heartbeat on, doubling up to one, apart from other managers.
             let wait = HEARTBEAT.mul_f64(0.5 + self.rng.f64()) / (32 >> failures.min(5));
             if (failures + 1_u32).is_power_of_two() {
-                log::warn!("the watch broke: {fault}; again from {:?} in {} ms", self.held, wait.as_millis());
+                log::warn!("the watch broke: {fault}; dialled again in {} ms", wait.as_millis());
             }
             sleep(wait).await;
         }
@@ -132,7 +130,10 @@
             Ok(answer) => return Fault::reading(format!("discovery answered {}", answer.status())),
             Err(fault) => return fault,
         };
-        log::info!("watching the list from version {:?}", self.held);
+        log::info!(
+            "watching the list{}",
+            self.held.map(|held| format!(" from {held} on")).unwrap_or_default()
+        );
         let mut text = BytesMut::new();
         loop {
             // Guards against a watch that is silent for good: heartbeats stop, nothing is reset.
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -21,6 +21,9 @@
 /// Messages that may wait for a proxy that reads slowly, besides what its socket holds.
 const WAITING: usize = 64;
 
+/// Bytes taken from a socket at a time, at least.
+const ROOM: usize = 4096;
+
 /// What all connections share.
 pub struct Doors {
     pub news: mpsc::Sender<News>,
@@ -71,13 +74,17 @@
 
 /// Waits for a connection's end, whatever that is: a fault or a panic in it ends nothing else.
 async fn end(id: StreamId, from: SocketAddr, socket: TcpStream, put_out: Rc<Notify>, doors: Rc<Doors>) {
-    match spawn_local(life(id, socket, put_out, doors.clone())).await {
-        Ok(Ok(())) => log::debug!("{from} ended its connection"),
-        Ok(Err(fault)) => log::info!("the connection from {from} ended: {fault}"),
-        Err(panic) => log::error!("the connection from {from} failed: {panic}"),
-    }
+    let why = match spawn_local(life(id, socket, put_out, doors.clone())).await {
+        Ok(Ok(())) => None,
+        Ok(Err(fault)) => Some(format!("{from}: {fault}")),
+        Err(panic) => {
+            log::error!("the connection from {from} failed: {panic}");
+            Some(format!("{from}: {panic}"))
+        }
+    };
+    log::debug!("the connection from {from} ended: {why:?}");
     doors.strangers.borrow_mut().retain(|(stranger, _)| *stranger != id);
-    _ = doors.news.send(News::Left(id)).await;
+    _ = doors.news.send(News::Ended(id, why)).await;
 }
 
 /// One connection, from its introduction to its end.
@@ -181,6 +188,7 @@
                 return Ok(Some(line));
             }
             self.seen = self.text.len();
+            self.text.reserve(ROOM);
             if self.seen > longest {
                 return Err(Fault::reading(format!("a line is longer than {longest} bytes")));
             }
