--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -19,6 +19,7 @@
 use crate::launch::Launch;
 use crate::plane::{Parcel, Plane};
 use crate::probes::{Found, Probes};
+use crate::tally::Tally;
 use crate::text::Report;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,49 +90,6 @@
     }
 }
 
-/// How often a thing happened, and the last time's particulars.
-#[derive(Default)]
-struct Count(usize, String);
-
-impl Count {
-    fn add(&mut self, last: String) {
-        (self.0, self.1) = (self.0 + 1, last);
-    }
-}
-
-/// What is logged in sums, at most once a report period, so that a storm of it floods no log.
-#[derive(Default)]
-struct Tally {
-    joined: usize,
-    left: usize,
-    broke: Count,
-    silent: Count,
-    spoke: usize,
-    odd: Count,
-    logged: Ms,
-}
-
-impl Tally {
-    fn log(&mut self, now: Ms, open: usize) {
-        let tally = std::mem::replace(self, Tally { logged: now, ..Tally::default() });
-        if tally.joined + tally.left > 0 {
-            log::info!("{} proxies joined, {} left, {open} are here", tally.joined, tally.left);
-        }
-        let Count(broke, last) = tally.broke;
-        if broke > 0 {
-            log::info!("{broke} connections broke, the last: {last}");
-        }
-        let Count(silent, last) = tally.silent;
-        if silent + tally.spoke > 0 {
-            log::warn!("{silent} proxies fell silent, {} spoke again, the last: {last}", tally.spoke);
-        }
-        let Count(odd, last) = tally.odd;
-        if odd > 0 {
-            log::warn!("{odd} lines passed over, the last: {last}");
-        }
-    }
-}
-
 /// Only the wakes and silences due sooner matter.
 const LONGEST_SLEEP: Ms = 3_600_000.0;
 
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -11,20 +11,20 @@
 use crate::discovery::Listing;
 
 pub struct Launch {
-    pub name: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub seed: u64,
+    pub(crate) name: String,
+    pub(crate) listen: SocketAddr,
+    pub(crate) discovery: SocketAddr,
+    pub(crate) seed: u64,
     /// File descriptors that this process may hold.
-    pub sockets: usize,
+    pub(crate) sockets: usize,
     /// The list as last held; it may be old.
-    pub known: Option<Listing>,
-    pub start: Start,
-    pub names: Names,
-    pub tick: Duration,
-    pub dial_within: Duration,
+    pub(crate) known: Option<Listing>,
+    pub(crate) start: Start,
+    pub(crate) names: Names,
+    pub(crate) tick: Duration,
+    pub(crate) dial_within: Duration,
     /// A stream that owes an answer and says nothing for so long is taken for lost.
-    pub silent_after: Ms,
+    pub(crate) silent_after: Ms,
 }
 
 #[derive(Deserialize)]
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -19,6 +19,7 @@
 mod plane;
 mod probes;
 mod streams;
+mod tally;
 mod text;
 
 use std::net::SocketAddr;
--- a/crates/manager/src/plane.rs
+++ b/crates/manager/src/plane.rs
@@ -229,12 +229,12 @@
 }
 
 fn ops_of(mask: u32, names: &Names) -> impl Iterator<Item = OpId> {
-    let count = names.ops.len() as u8;
+    let count = names.ops.count() as u8;
     (0..count).filter(move |op| mask == 0 || mask >> op & 1 == 1).map(OpId)
 }
 
 fn spelled<'a>(ops: &[OpId], names: &'a Names) -> Vec<&'a str> {
-    if ops.len() == names.ops.len() {
+    if ops.len() == names.ops.count() {
         return Vec::new();
     }
     ops.iter().map(|op| names.ops.name(u32::from(op.0))).collect()
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,7 +59,8 @@
                 let id = StreamId(doors.last.get());
                 let put_out = Rc::new(Notify::new());
                 doors.strangers.borrow_mut().push_back((id, put_out.clone()));
-                spawn_local(end(id, from, socket, put_out, doors.clone()));
+                let life = life(id, socket, put_out, doors.clone());
+                spawn_local(end(id, from, life, doors.clone()));
             }
             // Guards against running out of descriptors: a stranger's is taken back, all others stay.
             Err(cause) => {
@@ -73,8 +75,13 @@
 }
 
 /// Waits for a connection's end, whatever that is: a fault or a panic in it ends nothing else.
-async fn end(id: StreamId, from: SocketAddr, socket: TcpStream, put_out: Rc<Notify>, doors: Rc<Doors>) {
-    let why = match spawn_local(life(id, socket, put_out, doors.clone())).await {
+async fn end(
+    id: StreamId,
+    from: SocketAddr,
+    life: impl Future<Output = Result<(), Fault>> + 'static,
+    doors: Rc<Doors>,
+) {
+    let why = match spawn_local(life).await {
         Ok(Ok(())) => None,
         Ok(Err(fault)) => Some(format!("{from}: {fault}")),
         Err(panic) => {
@@ -201,3 +208,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_panic_in_a_connection_ends_that_connection_alone() {
+        let (news, mut told) = mpsc::channel(8);
+        let (strangers, last) = Default::default();
+        let doors = Rc::new(Doors { news, proxies: 1, strangers, strangers_most: 1, last });
+        let from = "127.0.0.1:1".parse().unwrap();
+        let tasks = tokio::task::LocalSet::new();
+        tasks.spawn_local(end(StreamId(1), from, async { panic!("out of range") }, doors.clone()));
+        tasks.spawn_local(end(StreamId(2), from, async { Err(Fault::reading("half a line")) }, doors));
+        let mut ended = Vec::new();
+        tasks.await;
+        while let Ok(News::Ended(id, why)) = told.try_recv() {
+            ended.push((id.0, why.unwrap()));
+        }
+        ended.sort();
+        assert!(
+            matches!(&ended[..], [(1, panic), (2, fault)]
+            if panic.contains("out of range") && fault.contains("half a line (while reading)")),
+            "{ended:?}"
+        );
+    }
+}
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -61,9 +61,7 @@
     }
 
     fn proxy(&self, number: u16) -> Peer {
-        let mut peer = self.peer();
-        peer.say(&format!("hello node={number} locality=a w=21.5 cold=1"));
-        peer
+        Peer::joined(self.manager, number)
     }
 
     /// Takes the next watch: what was asked for, and the connection with a head already answered.
@@ -76,6 +74,13 @@
     }
 }
 
+/// Where a started program listens, by its log.
+fn address_served(log: &mut impl BufRead) -> SocketAddr {
+    let mut lines = log.lines().map(Result::unwrap);
+    let served = lines.find_map(|line| Some(line.split_once("serves on ")?.1.parse().unwrap()));
+    served.expect("it serves")
+}
+
 struct Peer(BufReader<TcpStream>);
 
 impl Peer {
@@ -85,6 +90,12 @@
         Peer(BufReader::new(socket))
     }
 
+    fn joined(manager: SocketAddr, number: u16) -> Peer {
+        let mut peer = Peer::new(TcpStream::connect(manager).unwrap());
+        peer.say(&format!("hello node={number} locality=a w=21.5 cold=1"));
+        peer
+    }
+
     fn raw(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
@@ -224,6 +235,29 @@
     proxy.alive();
 }
 
+#[test]
+fn running_out_of_descriptors_costs_strangers_and_no_proxy() {
+    let path = std::env::temp_dir().join(format!("juniperrail-few-{}.json", std::process::id()));
+    std::fs::write(&path, config("127.0.0.1:1".parse().unwrap(), 1024)).unwrap();
+    let mut limited = Command::new("sh");
+    limited.args(["-c", "ulimit -n 24; exec \"$0\"", env!("CARGO_BIN_EXE_juniperrail")]);
+    let mut manager = limited.env("PROXY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(manager.stderr.take().unwrap());
+    let address = address_served(&mut log);
+    let mut proxy = Peer::joined(address, 1);
+    proxy.line_with("whole=1");
+    let strangers: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(address).unwrap()).collect();
+    Peer::joined(address, 2).line_with("whole=1");
+    proxy.alive();
+    manager.kill().unwrap();
+    let mut said = String::new();
+    log.read_to_string(&mut said).unwrap();
+    assert!(said.contains("no connection can be taken: Too many open files"), "{said}");
+    drop(strangers);
+    manager.wait().unwrap();
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn hundreds_of_streams_within_a_moment_are_all_taken() {
     let town = Town::new(1024);
@@ -309,14 +343,11 @@
     }
     let mut running = program(&good, "127.0.0.1:0");
     let mut log = BufReader::new(running.stderr.take().unwrap());
-    let mut line = String::new();
-    while !line.contains("serves on 127.0.0.1:") {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0);
-    }
+    address_served(&mut log);
     Command::new("kill").arg(running.id().to_string()).status().unwrap();
     assert!(running.wait().unwrap().success());
-    log.read_to_string(&mut line).unwrap();
-    assert!(line.contains("told to end"), "{line}");
+    let mut said = String::new();
+    log.read_to_string(&mut said).unwrap();
+    assert!(said.contains("told to end"), "{said}");
     std::fs::remove_file(&path).unwrap();
 }
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -29,14 +29,10 @@
         self.ids.get(name).copied()
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.names.len()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.names.is_empty()
-    }
-
     pub fn name(&self, id: u32) -> &str {
         &self.names[id as usize]
     }
