--- a/src/brain.rs
+++ b/src/brain.rs
@@ -302,8 +302,7 @@
         // However idle, answers are no quicker than their work: calm says it may double up to near the jam.
         let rise = if step < SHED_IDLE.1 || self.parts > 0 { step } else { step.max(NEAR.1) };
         let next = (self.let_in * rise).min(near).clamp(least, 1.0);
-        let early = !self.rising && now < self.let_in_at + 2.0 * settled;
-        if next != self.let_in && (step < SHED_IDLE.0 && !early || step >= SHED_IDLE.1) {
+        if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
             let text = format!("letting in {next:.2}: the fleet bears {step:.2} of what came");
