Rates at proxies leave room for what comes in bursts

Checked: proxies bring about one invocation a second and operation, so a rate at the mean of it meets bursts with an empty purse; uneven proxies do not explain it, as the rate is a common cap and the small are below it. At fault: level in src/brain.rs, which gives the rate its fair share and no room. Change: a rate of x has the root of x on top, without parts; where x is large that is nothing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -377,7 +377,8 @@
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
             if *rate >= each && each > 0.0 {
-                return stepped(each.max(0.1));
+                // What comes in a second varies by its root: a rate at the mean would refuse a third of it.
+                return stepped((each + if self.parts > 0 { 0.0 } else { each.sqrt() }).max(0.1));
             }
             left -= rate;
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -315,6 +315,22 @@
     assert!((25.0..55.0).contains(&level), "the small proxy keeps all of its own: {level}");
 }
 
+#[test]
+fn a_rate_at_a_small_proxy_leaves_room_for_what_comes_in_bursts() {
+    let rates = Start { level_kind: LevelKind::PerSecond, ..start() };
+    let mut host = Host::running(rates, 8, 2);
+    let mut met: Vec<Event> = (0..8).map(|worker| sums(worker, 10.0, 5.0, 800.0)).collect();
+    for (proxy, op) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+        let (proxy, op) = (ProxyId(proxy), OpId(op));
+        met.push(Event::ProxySums { proxy, op, invs: 2.0, unanswered: 0.0, over: 2000.0 });
+    }
+    host.seconds(4, 2, &met);
+    let levels: Vec<f64> =
+        host.admitted.iter().map(|admitted| admitted.0).filter(|level| *level < 100.0).collect();
+    let least = levels.iter().copied().fold(f64::INFINITY, f64::min);
+    assert!(!levels.is_empty() && least > 0.6, "a quarter of one a second: {levels:?}");
+}
+
 #[test]
 fn nothing_is_repeated_without_proof_that_it_never_ran() {
     let mut host = Host::running(start(), 6, 2);
