--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,7 +32,6 @@
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
 const NEAR: (f64, f64) = (0.8, 2.0);
-const BURSTS: f64 = 2.0;
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -378,9 +377,7 @@
         for (place, rate) in rates.iter().enumerate() {
             let each = left / (rates.len() - place) as f64;
             if *rate >= each && each > 0.0 {
-                // What comes varies by its root; a rate at its mean refuses far more, which only a jam calls for.
-                let bursts = if self.parts == 0 && self.rising { BURSTS * each.sqrt() } else { 0.0 };
-                return stepped((each + bursts).max(0.1));
+                return stepped(each.max(0.1));
             }
             left -= rate;
         }
@@ -502,7 +499,8 @@
     }
 
     fn lines(&self, table: TableId) -> impl Iterator<Item = (WorkerId, &Entry)> {
-        self.workers.keys().filter_map(move |id| Some((*id, self.entries.get(&Key::Line(table, *id))?)))
+        let line = move |id: &WorkerId| Some((*id, self.entries.get(&Key::Line(table, *id))?));
+        self.workers.keys().filter_map(line)
     }
 
     /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent of
@@ -619,14 +617,15 @@
     }
 
     fn write(&mut self, to: &BTreeSet<ProxyId>, lines: f64, room: f64, part: f64) -> bool {
-        let (now, over, head) = (self.now, self.start.messages_over, self.start.message_overhead + 1.0);
+        let (now, over, most) = (self.now, self.start.messages_over, self.start.messages_most);
+        let head = self.start.message_overhead + 1.0;
         let new: Vec<&ProxyId> = to.iter().filter(|id| !self.message.contains_key(id)).collect();
         let cost = to.len() as f64 * lines + new.len() as f64 * head;
         let mut free = self.adding + cost <= room;
         for id in new {
             let sent = &mut self.proxies.get_mut(id).expect("a joined proxy").messages;
             sent.retain(|at| now - at <= over * 1.02);
-            free &= (sent.len() as f64) < (self.start.messages_most * part).floor();
+            free &= (sent.len() as f64) < (most * part).floor();
         }
         if free {
             self.adding += cost;
