--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
 const EASED: (f64, f64) = (0.95, 1.1);
 const LEAST_IN: (f64, f64) = (0.25, 0.12);
-const NEAR: (f64, f64) = (0.8, 2.0);
+const NEAR: f64 = 0.8;
 const STEP: f64 = 1.1;
 const NO_LIMIT: f64 = 1e6;
 
@@ -208,7 +208,8 @@
     fn list(&mut self, mut listed: Listed) {
         let known = self.workers.values().map(|worker| worker.listed.weight);
         listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
-        let (now, samples, part, factor, weighed) = (self.now, VecDeque::new(), None, 1.0, f64::NEG_INFINITY);
+        let (now, samples, part) = (self.now, VecDeque::new(), None);
+        let (factor, weighed) = (1.0, f64::NEG_INFINITY);
         let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, part };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
@@ -237,8 +238,8 @@
     fn weigh(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
-        let peers: Vec<Sample> =
-            self.workers.values().map(|w| self.evidence(w, now - 2.0 * settled)).collect();
+        let peers = self.workers.values().map(|w| self.evidence(w, now - 2.0 * settled));
+        let peers: Vec<Sample> = peers.collect();
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
@@ -298,10 +299,8 @@
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
-        let near = (self.let_in * SHED_IDLE.1).max(NEAR.0 * self.jammed_at);
-        // However idle, answers are no quicker than their work: calm says it may double up to near the jam.
-        let rise = if step < SHED_IDLE.1 || self.parts > 0 { step } else { step.max(NEAR.1) };
-        let next = (self.let_in * rise).min(near).clamp(least, 1.0);
+        let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
+        let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
@@ -606,7 +605,8 @@
             }
         }
         if !self.message.is_empty() {
-            (self.mark, self.adding) = (self.mark + 1, 0.0);
+            self.mark += 1;
+            self.adding = 0.0;
             self.proven = if self.waits.is_empty() { now } else { self.proven };
             self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
         }
@@ -640,7 +640,8 @@
             return false;
         }
         let entry = self.entries.get_mut(&key).expect("a known key");
-        (entry.sent, entry.owed) = (entry.wanted, (!to.is_empty()).then_some(self.mark + 1));
+        entry.sent = entry.wanted;
+        entry.owed = (!to.is_empty()).then_some(self.mark + 1);
         let level = entry.wanted;
         // Any other try multiplies an overload: one given up goes on working at its worker.
         let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
