--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -286,7 +286,9 @@
                 Ok(Event::WorkerSums { zone, worker, tries, bad, mean, over, load })
             }
             Report::Demand { proxy, op, invs, unanswered, over } => {
-                from.map(|from| self.spoke(from, ProxyId(proxy)));
+                if from.is_some_and(|from| !self.spoke(from, ProxyId(proxy))) {
+                    return Err(format!("proxy {proxy} reports on another's stream"));
+                }
                 let op = self.names.op(&op).ok_or_else(|| format!("unknown operation {op:?}"))?;
                 Ok(Event::ProxySums { proxy: ProxyId(proxy), op, invs, unanswered, over })
             }
@@ -487,6 +489,9 @@
         let heard = town.turn();
         assert!(matches!(heard[..], [LEFT, Event::Joined { .. }]), "{heard:?}");
         town.ack(old, 1);
+        let (op, over) = ("lookup".into(), 2000.0);
+        let demand = Report::Demand { proxy: 2, op, invs: 4.0, unanswered: 0.0, over };
+        town.0.hear(News::Said(Some(old), demand));
         town.0.hear(News::Ended(old, None));
         assert!(town.0.heard.is_empty());
         town.ack(new, 1);
