--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -195,7 +195,9 @@
     }
 
     fn list(&mut self, listing: &Listing, kind: ListKind) {
-        let entries = listing.entries(&mut self.names);
+        let (entries, all) = listing.entries(&mut self.names);
+        // Guards against an entry that can't be read: a whole list without it would tell that worker gone.
+        let kind = if all { kind } else { ListKind::Changes };
         log::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
         if kind != ListKind::Changes {
             self.listed.clear();
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -54,14 +54,16 @@
 }
 
 impl Listing {
-    /// The entries that can be read, each with its address; the others are passed over with a log line.
-    pub fn entries(&self, names: &mut Names) -> Vec<(Listed, Option<SocketAddr>)> {
+    /// The entries that can be read, each with its address, and whether these are all; the others are passed
+    /// over with a log line.
+    pub fn entries(&self, names: &mut Names) -> (Vec<(Listed, Option<SocketAddr>)>, bool) {
         let read: Vec<_> = self.instances.iter().map(|raw| entry(raw.get(), names)).collect();
         let odd: Vec<&String> = read.iter().filter_map(|entry| entry.as_ref().err()).collect();
         if let Some(last) = odd.last() {
             log::warn!("list {}: {} entries are passed over, the last: {last}", self.version, odd.len());
         }
-        read.into_iter().flatten().collect()
+        let all = odd.is_empty();
+        (read.into_iter().flatten().collect(), all)
     }
 }
 
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -282,7 +282,11 @@
     agent.chunk(&(tail.to_string() + "\n" + &list(43, false, &[entry("s-9", "ready")]) + "\n"));
     let told = proxy.line_with("out=s-1");
     assert!(!told.contains("s-3"), "an entry with missing fields is passed over: {told}");
-    agent.chunk(&(list(44, true, &["s-2", "s-9"].map(|id| entry(id, "ready"))) + "\n"));
+    let broken = r#"{"instanceId":"s-3"}"#.to_string();
+    agent.chunk(&(list(44, true, &[entry("s-2", "draining"), broken]) + "\n"));
+    let told = proxy.line_with("out=s-2");
+    assert!(!told.contains("s-3"), "a whole list that can't be read whole makes nobody gone: {told}");
+    agent.chunk(&(list(45, true, &[entry("s-9", "ready")]) + "\n"));
     proxy.line_with("out=s-3");
 }
 
