--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -10,6 +10,7 @@
 
 use crate::discovery::Listing;
 
+/// All that a manager is told at its start, checked.
 pub struct Launch {
     pub(crate) name: String,
     pub(crate) listen: SocketAddr,
@@ -51,6 +52,7 @@
 }
 
 impl Launch {
+    /// From the `PROXY_*` variables and the file that `PROXY_CONFIG` names. The error is one plain line.
     pub fn from_env() -> Result<Launch, String> {
         let told = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
         let path = told("PROXY_CONFIG").ok_or("PROXY_CONFIG names no file")?;
@@ -58,7 +60,7 @@
         Launch::new(&json, told).map_err(|why| format!("{path}: {why}"))
     }
 
-    /// `told`: what the variables say; they go before the file.
+    /// From the text of such a file. `told`: what the variables say; they go before the file.
     pub fn new(json: &str, told: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
         let file: File = serde_json::from_str(json).map_err(|why| why.to_string())?;
         let address = |variable: &str, value: Option<String>| {
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -43,6 +43,7 @@
 }
 
 impl Manager {
+    /// Listens on the address told and nowhere else; nobody is answered yet.
     pub async fn bind(launch: Launch) -> Result<Manager, String> {
         let failed = |why| format!("{} cannot be listened on: {why}", launch.listen);
         let listener = TcpListener::bind(launch.listen).await.map_err(failed)?;
@@ -50,10 +51,12 @@
         Ok(Manager { launch, listener, address })
     }
 
+    /// Where it listens, with the port that was found if port 0 was told.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Serves for good. Dropping the future stops the manager and ends all its connections.
     pub async fn serve(self) {
         let Manager { launch, listener, address } = self;
         let (news, inbox) = mpsc::channel(INBOX);
