SIGHUP reads the configuration again and moves the watch

Now the file is read again (reload.rs, Launch::anew): its `discovery` goes before PROXY_DISCOVERY, the running watch is let go and the new one dialled at once with the version held (discovery.rs). What cannot change is said, a file that cannot be read leaves all as it was, and the last one told wins. A watch given up while it waited to tell the list would have counted the version as told: it is now held only once it is told.

Test: a_reload_moves_the_watch_and_keeps_all_streams.

--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -52,7 +52,7 @@
 }
 
 /// The figures a manager is handed at its start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Start {
     pub operations: Vec<Operation>,
     pub zones: Vec<ZoneId>,
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -116,14 +116,14 @@
 impl Decider {
     /// Decides on the list as last held before anything is heard.
     pub fn new(launch: Launch, probes: Probes, news: &mpsc::Sender<News>, afresh: Rc<Notify>) -> Self {
-        let (clock, start, names) = (Clock::start(), launch.start, launch.names);
+        let (clock, start, names) = (Clock::start(), launch.fixed.start, launch.names);
         let mut decider = Decider {
             brain: Brain::new(clock.now(), launch.seed, start.clone()),
             start,
             names,
             rng: fastrand::Rng::with_seed(launch.seed),
             clock,
-            tick: launch.tick,
+            tick: launch.fixed.tick,
             silent_after: launch.silent_after,
             plane: Plane::default(),
             streams: BTreeMap::new(),
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -11,7 +11,7 @@
 use juniperrail_start::Names;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep, timeout};
 use tower::ServiceExt;
 
@@ -91,8 +91,14 @@
     Ok((listed, entry.host_port.parse().ok()))
 }
 
+/// Ends once another address is in force; never where nobody can tell one any more.
+async fn moved(discovery: &mut watch::Receiver<SocketAddr>) {
+    if discovery.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 pub struct Watch {
-    pub discovery: SocketAddr,
     /// The version held; without one the whole list is asked for.
     pub held: Option<u64>,
     pub rng: fastrand::Rng,
@@ -100,14 +106,19 @@
 }
 
 impl Watch {
-    /// Follows the list for good; a watch that breaks is dialled again with what is held.
-    pub async fn run(mut self, afresh: &Notify) {
+    /// Follows the list for good; a watch that breaks, or whose discovery moves, is dialled again with what
+    /// is held.
+    pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>, afresh: &Notify) {
         let exchange = http::exchange(HEARTBEAT, 2 * HEARTBEAT);
         let mut failures = 0;
         loop {
-            let before = self.held;
+            let (before, address) = (self.held, *discovery.borrow_and_update());
             let fault = tokio::select! {
-                fault = self.follow(&exchange) => fault,
+                fault = self.follow(&exchange, address) => fault,
+                () = moved(&mut discovery) => {
+                    failures = 0;
+                    continue;
+                }
                 () = afresh.notified() => {
                     self.held = None;
                     continue;
@@ -119,23 +130,25 @@
             if (failures + 1_u32).is_power_of_two() {
                 log::warn!("the watch broke: {fault}; dialled again in {} ms", wait.as_millis());
             }
-            sleep(wait).await;
+            // Guards against a wait for an address that is no longer in force.
+            tokio::select! {
+                () = sleep(wait) => {}
+                () = moved(&mut discovery) => failures = 0,
+            }
         }
     }
 
     /// One watch, from its dialling to its end.
-    async fn follow(&mut self, exchange: &http::Exchange) -> Fault {
+    async fn follow(&mut self, exchange: &http::Exchange, discovery: SocketAddr) -> Fault {
         let index = self.held.map(|version| format!("&index={version}")).unwrap_or_default();
-        let call = (self.discovery, format!("/v1/servers?stream=1{index}"));
+        let call = (discovery, format!("/v1/servers?stream=1{index}"));
         let mut body = match exchange.clone().oneshot(call).await {
             Ok(answer) if answer.status() == StatusCode::OK => answer.into_body(),
             Ok(answer) => return Fault::reading(format!("discovery answered {}", answer.status())),
             Err(fault) => return fault,
         };
-        log::info!(
-            "watching the list{}",
-            self.held.map(|held| format!(" from {held} on")).unwrap_or_default()
-        );
+        let from = self.held.map(|held| format!(" from {held} on")).unwrap_or_default();
+        log::info!("watching the list at {discovery}{from}");
         let mut text = BytesMut::new();
         loop {
             // Guards against a watch that is silent for good: heartbeats stop, nothing is reset.
@@ -155,10 +168,12 @@
                     Ok(listing) => listing,
                     Err(cause) => return Fault::reading(format!("no list: {cause}")),
                 };
-                self.held = Some(listing.version);
+                let version = listing.version;
                 if self.news.send(News::Listing(listing)).await.is_err() {
                     return Fault::reading("nobody wants the list any more");
                 }
+                // Only now: a watch given up while it waits to tell would count as told what nobody heard.
+                self.held = Some(version);
             }
             if text.len() > LONGEST {
                 return Fault::reading("a line of the watch is overlong");
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -12,22 +12,44 @@
 
 /// All that a manager is told at its start, checked.
 pub struct Launch {
-    pub(crate) name: String,
-    pub(crate) listen: SocketAddr,
+    pub(crate) fixed: Fixed,
     pub(crate) discovery: SocketAddr,
     pub(crate) seed: u64,
-    /// File descriptors that this process may hold.
-    pub(crate) sockets: usize,
     /// The list as last held; it may be old.
     pub(crate) known: Option<Listing>,
-    pub(crate) start: Start,
     pub(crate) names: Names,
-    pub(crate) tick: Duration,
-    pub(crate) dial_within: Duration,
     /// A stream that owes an answer and says nothing for so long is taken for lost.
     pub(crate) silent_after: Ms,
 }
 
+const DISCOVERY: &str = "PROXY_DISCOVERY";
+
+/// What stays for as long as a manager runs.
+#[derive(Clone)]
+pub(crate) struct Fixed {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// File descriptors that this process may hold.
+    pub sockets: usize,
+    pub start: Start,
+    pub tick: Duration,
+    pub dial_within: Duration,
+}
+
+impl Fixed {
+    /// What another configuration says otherwise.
+    pub fn other_than(&self, other: &Fixed) -> impl Iterator<Item = &'static str> {
+        let settings = |of: &Fixed| (of.start.clone(), of.tick, of.dial_within);
+        let differ = [
+            ("the name", self.name != other.name),
+            ("the address to listen on", self.listen != other.listen),
+            ("the limit on sockets", self.sockets != other.sockets),
+            ("a setting", settings(self) != settings(other)),
+        ];
+        differ.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what)
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
     name: Option<String>,
@@ -54,15 +76,38 @@
 impl Launch {
     /// From the `PROXY_*` variables and the file that `PROXY_CONFIG` names. The error is one plain line.
     pub fn from_env() -> Result<Launch, String> {
+        Launch::read(Launch::new)
+    }
+
+    /// The same once the file was replaced, with [`Launch::anew`].
+    pub fn anew_from_env() -> Result<Launch, String> {
+        Launch::read(Launch::anew)
+    }
+
+    fn read(
+        launch: impl Fn(&str, fn(&str) -> Option<String>) -> Result<Launch, String>,
+    ) -> Result<Launch, String> {
         let told = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
         let path = told("PROXY_CONFIG").ok_or("PROXY_CONFIG names no file")?;
         let json = std::fs::read_to_string(&path).map_err(|why| format!("{path} cannot be read: {why}"))?;
-        Launch::new(&json, told).map_err(|why| format!("{path}: {why}"))
+        launch(&json, told).map_err(|why| format!("{path}: {why}"))
     }
 
     /// From the text of such a file. `told`: what the variables say; they go before the file.
     pub fn new(json: &str, told: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
+        Launch::decode(serde_json::from_str(json).map_err(|why| why.to_string())?, told)
+    }
+
+    /// From the text of the file that takes its place while a manager runs: where it says that discovery is
+    /// goes before the variable, which can only say where that was at the start.
+    pub fn anew(json: &str, told: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
         let file: File = serde_json::from_str(json).map_err(|why| why.to_string())?;
+        let moved = file.discovery.clone();
+        let told = |name: &str| moved.clone().filter(|_| name == DISCOVERY).or_else(|| told(name));
+        Launch::decode(file, told)
+    }
+
+    fn decode(file: File, told: impl Fn(&str) -> Option<String>) -> Result<Launch, String> {
         let address = |variable: &str, value: Option<String>| {
             let value = told(variable).or(value).ok_or_else(|| format!("{variable} is told nowhere"))?;
             value.parse().map_err(|_| format!("{variable} is no address with a port: {value:?}"))
@@ -72,19 +117,22 @@
             span if span >= 0.0 && span.is_finite() => Ok(Duration::from_secs_f64(span / 1000.0)),
             span => Err(format!("the setting {path} is no span: {span}")),
         };
-        Ok(Launch {
+        let fixed = Fixed {
             name: told("PROXY_NAME").or(file.name).ok_or("PROXY_NAME is told nowhere")?,
             listen: address("PROXY_LISTEN", file.listen)?,
-            discovery: address("PROXY_DISCOVERY", file.discovery)?,
-            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| format!("no seed: {:?}", file.seed))?,
             sockets: file.limits.sockets,
+            tick: span("tick-ms")?,
+            dial_within: span("allowed.dial-timeout-ms")?,
+            start,
+        };
+        Ok(Launch {
+            discovery: address(DISCOVERY, file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| format!("no seed: {:?}", file.seed))?,
             known: file.known,
             // An answer was due since, and if the channel is slow a report at least.
-            silent_after: start.report_period + start.transit_worst,
-            start,
+            silent_after: fixed.start.report_period + fixed.start.transit_worst,
+            fixed,
             names,
-            tick: span("tick-ms")?,
-            dial_within: span("allowed.dial-timeout-ms")?,
         })
     }
 }
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -18,6 +18,7 @@
 mod launch;
 mod plane;
 mod probes;
+mod reload;
 mod streams;
 mod tally;
 mod text;
@@ -31,6 +32,7 @@
 use tokio::task::LocalSet;
 
 pub use launch::Launch;
+pub use reload::Reloader;
 
 /// News that may wait for the next turn; who brings more has to wait.
 const INBOX: usize = 4096;
@@ -40,15 +42,18 @@
     launch: Launch,
     listener: TcpListener,
     address: SocketAddr,
+    reloader: Reloader,
 }
 
 impl Manager {
     /// Listens on the address told and nowhere else; nobody is answered yet.
     pub async fn bind(launch: Launch) -> Result<Manager, String> {
-        let failed = |why| format!("{} cannot be listened on: {why}", launch.listen);
-        let listener = TcpListener::bind(launch.listen).await.map_err(failed)?;
+        let listen = launch.fixed.listen;
+        let failed = |why| format!("{listen} cannot be listened on: {why}");
+        let listener = TcpListener::bind(listen).await.map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
-        Ok(Manager { launch, listener, address })
+        let reloader = Reloader::new(&launch);
+        Ok(Manager { launch, listener, address, reloader })
     }
 
     /// Where it listens, with the port that was found if port 0 was told.
@@ -56,35 +61,43 @@
         self.address
     }
 
+    /// To hand it its configuration anew while it serves.
+    pub fn reloader(&self) -> Reloader {
+        self.reloader.clone()
+    }
+
     /// Serves for good. Dropping the future stops the manager and ends all its connections.
     pub async fn serve(self) {
-        let Manager { launch, listener, address } = self;
+        let Manager { launch, listener, address, reloader } = self;
+        let fixed = launch.fixed.clone();
         let (news, inbox) = mpsc::channel(INBOX);
         let afresh = Rc::new(Notify::new());
-        let objectives = launch.start.operations.iter().map(|op| op.latency_objective);
+        let objectives = fixed.start.operations.iter().map(|op| op.latency_objective);
         // What answers later than an invocation should is as good as silent.
         let answer_within = Duration::from_secs_f64(objectives.fold(60_000.0, f64::min) / 1000.0);
         // An eighth of the descriptors for probes, a quarter for strangers; the rest is for proxies.
-        let probes = probes::probes(launch.dial_within, answer_within, launch.sockets / 8);
+        let probes = probes::probes(fixed.dial_within, answer_within, fixed.sockets / 8);
         let watch = discovery::Watch {
-            discovery: launch.discovery,
             held: launch.known.as_ref().map(|known| known.version),
             rng: fastrand::Rng::with_seed(launch.seed),
             news: news.clone(),
         };
         let doors = Rc::new(streams::Doors {
             news: news.clone(),
-            proxies: launch.start.proxies as u16,
+            proxies: fixed.start.proxies as u16,
             strangers: Default::default(),
-            strangers_most: launch.sockets / 4,
+            strangers_most: fixed.sockets / 4,
             last: Default::default(),
         });
-        let (name, tick) = (launch.name.clone(), launch.tick);
         let decider = decider::Decider::new(launch, probes, &news, afresh.clone());
         drop(news);
-        log::info!("{name} serves on {address}");
+        log::info!("{} serves on {address}", fixed.name);
         let tasks = async {
-            tokio::join!(decider.run(inbox), watch.run(&afresh), streams::accept(listener, doors, tick));
+            tokio::join!(
+                decider.run(inbox),
+                watch.run(reloader.discovery(), &afresh),
+                streams::accept(listener, doors, fixed.tick)
+            );
         };
         LocalSet::new().run_until(tasks).await;
     }
--- a/crates/manager/src/main.rs
+++ b/crates/manager/src/main.rs
@@ -16,10 +16,17 @@
 }
 
 async fn run() -> Result<(), String> {
-    let mut ended = signal(SignalKind::terminate()).map_err(|why| why.to_string())?;
+    let told = |kind| signal(kind).map_err(|why| why.to_string());
+    let (mut ended, mut replaced) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
     let manager = Manager::bind(Launch::from_env()?).await?;
+    let reloader = manager.reloader();
+    let reloading = async {
+        while replaced.recv().await.is_some() {
+            reloader.reload(Launch::anew_from_env());
+        }
+    };
     tokio::select! {
-        () = manager.serve() => {}
+        _ = async { tokio::join!(manager.serve(), reloading) } => {}
         _ = ended.recv() => log::info!("told to end"),
     }
     Ok(())
--- /dev/null
+++ b/crates/manager/src/reload.rs
@@ -0,0 +1,39 @@
+//! What a running manager takes over from a configuration that took the place of the one it started with.
+
+use std::net::SocketAddr;
+
+use tokio::sync::watch;
+
+use crate::launch::{Fixed, Launch};
+
+/// Hands a running manager its configuration anew, from any thread.
+#[derive(Clone)]
+pub struct Reloader {
+    fixed: Fixed,
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl Reloader {
+    pub(crate) fn new(launch: &Launch) -> Reloader {
+        Reloader { fixed: launch.fixed.clone(), discovery: watch::Sender::new(launch.discovery) }
+    }
+
+    pub(crate) fn discovery(&self) -> watch::Receiver<SocketAddr> {
+        self.discovery.subscribe()
+    }
+
+    /// Takes over what may change while running, which is where discovery is; what may not is said in the log
+    /// and stays, and a fault leaves all as it was. The last reload wins; connections and tables stay.
+    pub fn reload(&self, told: Result<Launch, String>) {
+        let launch = match told {
+            Ok(launch) => launch,
+            Err(why) => return log::error!("the configuration stays as it was: {why}"),
+        };
+        for what in self.fixed.other_than(&launch.fixed) {
+            log::warn!("{what} cannot change while running and stays as it was");
+        }
+        self.discovery
+            .send_if_modified(|known| std::mem::replace(known, launch.discovery) != launch.discovery);
+        log::info!("the configuration was read again: discovery is at {}", launch.discovery);
+    }
+}
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -66,14 +66,18 @@
 
     /// Takes the next watch: what was asked for, and the connection with a head already answered.
     fn watch(&self, status: &str) -> (String, Peer) {
-        let mut peer = Peer::new(self.discovery.accept().unwrap().0);
-        let asked = peer.line().unwrap();
-        while peer.line().is_some_and(|line| !line.is_empty()) {}
-        peer.raw(&format!("HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n"));
-        (asked, peer)
+        watch(&self.discovery, status)
     }
 }
 
+fn watch(discovery: &TcpListener, status: &str) -> (String, Peer) {
+    let mut peer = Peer::new(discovery.accept().unwrap().0);
+    let asked = peer.line().unwrap();
+    while peer.line().is_some_and(|line| !line.is_empty()) {}
+    peer.raw(&format!("HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    (asked, peer)
+}
+
 /// Where a started program listens, by its log.
 fn address_served(log: &mut impl BufRead) -> SocketAddr {
     let mut lines = log.lines().map(Result::unwrap);
@@ -318,6 +322,50 @@
     assert!(TcpStream::connect(town.manager).is_err());
 }
 
+#[test]
+fn a_reload_moves_the_watch_and_keeps_all_streams() {
+    let path = std::env::temp_dir().join(format!("juniperrail-reload-{}.json", std::process::id()));
+    let discoveries: Vec<TcpListener> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let addresses: Vec<SocketAddr> = discoveries.iter().map(|one| one.local_addr().unwrap()).collect();
+    std::fs::write(&path, config(addresses[0], 64)).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_juniperrail"));
+    // What the variable says held at the start; the file's word goes before it from the first reload on.
+    program.env("PROXY_CONFIG", &path).env("PROXY_DISCOVERY", addresses[0].to_string());
+    let mut manager = program.stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(manager.stderr.take().unwrap());
+    let address = address_served(&mut log);
+    let mut told = |config: &str, answer: &str| {
+        std::fs::write(&path, config).unwrap();
+        Command::new("kill").args(["-HUP", &manager.id().to_string()]).status().unwrap();
+        let mut lines = log.by_ref().lines().map(Result::unwrap);
+        lines.find(|line| line.contains(answer)).unwrap_or_else(|| panic!("{answer} is never said"))
+    };
+    let mut proxy = Peer::joined(address, 7);
+    proxy.line_with("whole=1");
+    let (_, mut old) = watch(&discoveries[0], "200 OK");
+    old.chunk(&(list(42, false, &[entry("s-1", "draining")]) + "\n"));
+    proxy.line_with("out=s-1");
+    for spoilt in ["", "{\"seed\":", &config(addresses[1], 64).replace("127.0.0.1:", "nowhere")] {
+        told(spoilt, "the configuration stays as it was");
+    }
+    old.chunk(&(list(43, false, &[entry("s-2", "draining")]) + "\n"));
+    proxy.line_with("out=s-2");
+    let elsewhere = config(addresses[1], 64).replace("127.0.0.1:0\"", "127.0.0.1:9\"");
+    told(&elsewhere, "the address to listen on cannot change while running");
+    let (asked, mut new) = watch(&discoveries[1], "200 OK");
+    assert!(asked.contains("index=43"), "from the version held: {asked}");
+    assert_eq!(old.line(), None, "the old watch is let go");
+    new.chunk(&(list(44, false, &[entry("s-3", "draining"), entry("s-4", "ready")]) + "\n"));
+    proxy.line_with("out=s-3");
+    told(&config(addresses[0], 64), "read again");
+    told(&config(addresses[2], 64), "read again");
+    assert!(watch(&discoveries[2], "200 OK").0.contains("index=44"), "the last reload wins");
+    proxy.alive();
+    manager.kill().unwrap();
+    manager.wait().unwrap();
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn the_program_says_what_is_wrong_in_one_line_and_ends_well_when_told() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
