A spoilt message costs itself alone; strangers get error within 1 s, from one budget

At fault: streams.rs `proxy_stream` (`text::read(..)?` ended the stream for any flaw), `introduction` (no limit), text.rs `figure` (anything finite), lib.rs (a quarter and an eighth of the descriptors beside all proxies).

Now text.rs tells spoilt from unreadable, also before a line ends; decider.rs counts spoilt ones and takes them as a sign of life; who has not joined within 1 s, or names an unknown proxy or zone, is told `error` and sees an end; places.rs deals `limits.sockets` out, all proxies first; a stream that stays silent gives its descriptor back; mute collectors give way.

Ruled out: `errors` above `total` in a demand is sound (what came before stays unanswered later): seen twice among the lines passed over.

--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -35,11 +35,11 @@
     },
     /// A connection of whatever kind is over, and why if not by itself.
     Ended(StreamId, Option<String>),
-    /// From a proxy's own stream, or through a collector.
-    Said(Option<StreamId>, Report),
+    /// From a proxy's own stream, or through a collector; or why a message is passed over.
+    Said(Option<(StreamId, ProxyId)>, Result<Report, String>),
     Probed(WorkerId, Found),
-    /// A line that is passed over, and why.
-    Odd(String),
+    /// Somebody who never joined, and why.
+    TurnedAway(String),
 }
 
 pub struct Hello {
@@ -79,14 +79,15 @@
     /// Marks sent that it has not answered, oldest first, and when something last came from it.
     owed: VecDeque<(MarkId, Ms)>,
     spoke: Ms,
-    /// Told to the decisions as left, though its connection is open.
-    silent: bool,
+    /// Since when it is told to the decisions as left, though its connection is open.
+    silent: Option<Ms>,
 }
 
 impl Stream {
+    /// When it is told as left, or given up as it still says nothing.
     fn silent_at(&self, after: Ms) -> Option<Ms> {
-        let (_, sent) = self.owed.front().filter(|_| !self.silent)?;
-        Some(sent.max(self.spoke) + after)
+        let since = self.silent.or_else(|| self.owed.front().map(|(_, sent)| sent.max(self.spoke)))?;
+        Some(since + after)
     }
 }
 
@@ -185,9 +186,12 @@
             }
             News::Said(from, report) => match self.report(from, report) {
                 Ok(event) => self.heard.push(event),
-                Err(why) => self.tally.odd.add(why),
+                Err(why) => {
+                    log::debug!("passed over: {why}");
+                    self.tally.odd.add(why);
+                }
             },
-            News::Odd(why) => self.tally.odd.add(why),
+            News::TurnedAway(why) => self.tally.away.add(why),
             News::Probed(worker, Found { ending, took, load }) => {
                 self.heard.push(Event::Probed { worker, ending, took, load });
             }
@@ -223,7 +227,7 @@
         // A new stream may come before the old one is seen to end; what that still brings changes nothing.
         self.leave(proxy);
         let (owed, spoke) = (VecDeque::new(), self.clock.now());
-        let stream = Stream { id, orders, zone, inv_per_second, owed, spoke, silent: false };
+        let stream = Stream { id, orders, zone, inv_per_second, owed, spoke, silent: None };
         self.streams.insert(proxy, stream);
         self.joined(proxy, fresh);
     }
@@ -236,7 +240,7 @@
     }
 
     fn leave(&mut self, proxy: ProxyId) {
-        if self.streams.remove(&proxy).is_some_and(|stream| !stream.silent) {
+        if self.streams.remove(&proxy).is_some_and(|stream| stream.silent.is_none()) {
             self.left(proxy);
         }
     }
@@ -248,16 +252,22 @@
     }
 
     /// Guards against streams that fall silent without a reset: who owes an answer and says nothing has left,
-    /// until it speaks again. Its connection stays, since it may be sound.
+    /// until it speaks again. Its connection stays for as long again, since it may be sound, but no longer: a
+    /// machine that vanished would keep its descriptor for good.
     fn silences(&mut self, now: Ms) {
         let due = |stream: &Stream| stream.silent_at(self.silent_after).is_some_and(|at| now >= at);
         let due: Vec<ProxyId> = self.streams.iter().filter(|(_, s)| due(s)).map(|(id, _)| *id).collect();
         for proxy in due {
             let stream = self.streams.get_mut(&proxy).expect("a known stream");
+            if stream.silent.is_some() {
+                log::debug!("proxy {} stays silent: its stream is given up", proxy.0);
+                self.streams.remove(&proxy);
+                continue;
+            }
             let (since, owed) = (now - stream.spoke, stream.owed.len());
             let last = format!("proxy {}, no word for {since:.0} ms, {owed} answers owed", proxy.0);
             self.tally.silent.add(last);
-            stream.silent = true;
+            stream.silent = Some(now);
             stream.owed.clear();
             self.left(proxy);
         }
@@ -272,32 +282,43 @@
         let (since, owes) = (now - stream.spoke, stream.owed.front().map_or(0.0, |(_, sent)| now - sent));
         log::trace!("proxy {} speaks after {since:.0} ms, owing for {owes:.0} ms", proxy.0);
         stream.spoke = now;
-        if std::mem::take(&mut stream.silent) {
+        if stream.silent.take().is_some() {
             self.tally.spoke += 1;
             self.joined(proxy, false);
         }
         true
     }
 
-    fn report(&mut self, from: Option<StreamId>, report: Report) -> Result<Event, String> {
-        match report {
+    fn report(
+        &mut self,
+        from: Option<(StreamId, ProxyId)>,
+        report: Result<Report, String>,
+    ) -> Result<Event, String> {
+        // Whatever comes over a stream shows that it is not silent, spoilt or not.
+        if let Some((_, proxy)) = from.filter(|(stream, proxy)| !self.spoke(*stream, *proxy)) {
+            return Err(format!("another stream of proxy {} took its place", proxy.0));
+        }
+        let foreign = |proxy| from.is_some_and(|(_, own)| own != proxy);
+        match report? {
             Report::Outcomes { zone, worker, tries, bad, mean, over, load } => {
                 let known = self.names.workers.known(&worker).map(WorkerId);
                 let worker = known.ok_or_else(|| format!("no list named the worker {worker:?}"))?;
-                let zone = self.names.zone(&zone);
+                let known = self.names.zones.known(&zone).map(|id| ZoneId(id as u16));
+                let zone = known.ok_or_else(|| format!("unknown zone {zone:?}"))?;
                 Ok(Event::WorkerSums { zone, worker, tries, bad, mean, over, load })
             }
             Report::Demand { proxy, op, invs, unanswered, over } => {
-                if from.is_some_and(|from| !self.spoke(from, ProxyId(proxy))) {
-                    return Err(format!("proxy {proxy} reports on another's stream"));
+                let proxy = ProxyId(proxy);
+                if foreign(proxy) {
+                    return Err(format!("a report of proxy {} on another's stream", proxy.0));
                 }
                 let op = self.names.op(&op).ok_or_else(|| format!("unknown operation {op:?}"))?;
-                Ok(Event::ProxySums { proxy: ProxyId(proxy), op, invs, unanswered, over })
+                Ok(Event::ProxySums { proxy, op, invs, unanswered, over })
             }
             Report::Ack { proxy, mark, took } => {
                 let (proxy, mark) = (ProxyId(proxy), MarkId(mark));
-                if !from.is_some_and(|from| self.spoke(from, proxy)) {
-                    return Err(format!("proxy {} answers on another's stream", proxy.0));
+                if from.is_none() || foreign(proxy) {
+                    return Err(format!("an answer of proxy {} on another's stream", proxy.0));
                 }
                 let owed = &mut self.streams.get_mut(&proxy).expect("a known stream").owed;
                 // Guards against an answer to what this stream never brought: the module counts marks in rounds.
@@ -318,7 +339,7 @@
         self.tally.joined += heard.iter().filter(|event| matches!(event, Event::Joined { .. })).count();
         self.tally.left += heard.iter().filter(|event| matches!(event, Event::Left { .. })).count();
         if now >= self.tally.logged + self.start.report_period {
-            self.tally.log(now, self.streams.values().filter(|stream| !stream.silent).count());
+            self.tally.log(now, self.streams.values().filter(|stream| stream.silent.is_none()).count());
         }
         let turn = AssertUnwindSafe(|| {
             let orders = decide(&mut self.brain, now, &heard);
@@ -338,7 +359,7 @@
         self.wakes.clear();
         let workers = self.listed.values().cloned().collect();
         self.heard.push(Event::List { kind: ListKind::Remembered, version: 0, workers });
-        for (proxy, stream) in self.streams.iter_mut().filter(|(_, stream)| !stream.silent) {
+        for (proxy, stream) in self.streams.iter_mut().filter(|(_, stream)| stream.silent.is_none()) {
             let Stream { zone, inv_per_second, .. } = *stream;
             stream.owed.clear();
             self.heard.push(Event::Joined { proxy: *proxy, fresh: false, inv_per_second, zone });
@@ -434,7 +455,8 @@
         }
 
         fn ack(&mut self, from: StreamId, mark: u16) {
-            self.0.hear(News::Said(Some(from), Report::Ack { proxy: 2, mark, took: 1.0 }));
+            let report = Report::Ack { proxy: 2, mark, took: 1.0 };
+            self.0.hear(News::Said(Some((from, ProxyId(2))), Ok(report)));
         }
     }
 
@@ -467,7 +489,7 @@
         assert!(town.0.heard.is_empty(), "not yet");
         town.0.silences(silent_at);
         assert_eq!(town.turn(), [LEFT]);
-        town.0.silences(silent_at * 2.0);
+        town.0.silences(silent_at + 1.0);
         assert!(town.0.heard.is_empty(), "told once");
         let orders = town.told(stream);
         town.ack(stream, 1);
@@ -482,6 +504,49 @@
         assert!(town.0.heard.is_empty(), "who owes nothing may be silent");
     }
 
+    #[test]
+    fn a_stream_that_stays_silent_gives_its_connection_back() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.turn();
+        let silent_at = town.0.streams[&ProxyId(2)].owed[0].1 + town.0.silent_after;
+        town.0.silences(silent_at);
+        assert_eq!(town.turn(), [LEFT]);
+        town.told(stream);
+        town.0.silences(silent_at + town.0.silent_after);
+        let end = town.1[0].try_recv();
+        assert_eq!((end, town.turn()), (Err(mpsc::error::TryRecvError::Disconnected), vec![]));
+    }
+
+    #[test]
+    fn a_spoilt_message_shows_life_and_leaves_nothing_behind() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.turn();
+        let silent_at = town.0.streams[&ProxyId(2)].owed[0].1 + town.0.silent_after;
+        town.0.silences(silent_at);
+        town.turn();
+        town.0.hear(News::Said(Some((stream, ProxyId(2))), Err("latency is missing".into())));
+        let heard = town.turn();
+        assert!(matches!(heard[..], [Event::Joined { fresh: false, .. }]), "{heard:?}");
+        let (zone, worker) = ("b".into(), "s-1".into());
+        let spoilt = Report::Outcomes {
+            zone,
+            worker,
+            tries: 1.0,
+            bad: 1.0,
+            mean: 0.0,
+            over: 1.0,
+            load: <_>::default(),
+        };
+        town.0.hear(News::Said(None, Ok(spoilt)));
+        let demand = Report::Demand { proxy: 2, op: "s-zz".into(), invs: 4.0, unanswered: 0.0, over: 2.0 };
+        town.0.hear(News::Said(None, Ok(demand)));
+        assert!(town.0.heard.is_empty());
+        let names = &town.0.names;
+        assert_eq!([&names.zones, &names.workers, &names.ops].map(|named| named.count()), [1, 1, 1]);
+    }
+
     #[test]
     fn what_an_old_stream_still_brings_changes_nothing() {
         let mut town = Town::new();
@@ -493,7 +558,7 @@
         town.ack(old, 1);
         let (op, over) = ("lookup".into(), 2000.0);
         let demand = Report::Demand { proxy: 2, op, invs: 4.0, unanswered: 0.0, over };
-        town.0.hear(News::Said(Some(old), demand));
+        town.0.hear(News::Said(Some((old, ProxyId(2))), Ok(demand)));
         town.0.hear(News::Ended(old, None));
         assert!(town.0.heard.is_empty());
         town.ack(new, 1);
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -18,6 +18,8 @@
     /// The list as last held; it may be old.
     pub(crate) known: Option<Listing>,
     pub(crate) names: Names,
+    /// As the settings name them; the list may bring others.
+    pub(crate) zones: Vec<String>,
     /// A stream that owes an answer and says nothing for so long is taken for lost.
     pub(crate) silent_after: Ms,
 }
@@ -117,6 +119,7 @@
             span if span >= 0.0 && span.is_finite() => Ok(Duration::from_secs_f64(span / 1000.0)),
             span => Err(format!("the setting {path} is no span: {span}")),
         };
+        let zones = start.zones.iter().map(|zone| names.zones.name(zone.0.into()).to_string()).collect();
         let fixed = Fixed {
             name: told("PROXY_NAME").or(file.name).ok_or("PROXY_NAME is told nowhere")?,
             listen: address("PROXY_LISTEN", file.listen)?,
@@ -133,6 +136,7 @@
             silent_after: fixed.start.report_period + fixed.start.transit_worst,
             fixed,
             names,
+            zones,
         })
     }
 }
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -16,6 +16,7 @@
 mod fault;
 mod http;
 mod launch;
+mod places;
 mod plane;
 mod probes;
 mod reload;
@@ -75,8 +76,9 @@
         let objectives = fixed.start.operations.iter().map(|op| op.latency_objective);
         // What answers later than an invocation should is as good as silent.
         let answer_within = Duration::from_secs_f64(objectives.fold(60_000.0, f64::min) / 1000.0);
-        // An eighth of the descriptors for probes, a quarter for strangers; the rest is for proxies.
-        let probes = probes::probes(fixed.dial_within, answer_within, fixed.sockets / 8);
+        let (zones, proxies) = (launch.zones.clone(), fixed.start.proxies as u16);
+        let budget = places::Budget::new(fixed.sockets, proxies.into(), zones.len());
+        let probes = probes::probes(fixed.dial_within, answer_within, budget.probes);
         let watch = discovery::Watch {
             held: launch.known.as_ref().map(|known| known.version),
             rng: fastrand::Rng::with_seed(launch.seed),
@@ -84,14 +86,16 @@
         };
         let doors = Rc::new(streams::Doors {
             news: news.clone(),
-            proxies: fixed.start.proxies as u16,
-            strangers: Default::default(),
-            strangers_most: fixed.sockets / 4,
+            proxies,
+            zones,
+            strangers: places::Places::new(budget.strangers),
+            collectors: places::Places::new(budget.collectors),
             last: Default::default(),
         });
         let decider = decider::Decider::new(launch, probes, &news, afresh.clone());
         drop(news);
         log::info!("{} serves on {address}", fixed.name);
+        log::debug!("of {} descriptors beside {proxies} proxies: {budget:?}", fixed.sockets);
         let tasks = async {
             tokio::join!(
                 decider.run(inbox),
--- /dev/null
+++ b/crates/manager/src/places.rs
@@ -0,0 +1,96 @@
+//! How many connections of a kind there may be, and who gives way: all from the one limit on descriptors.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use crate::decider::StreamId;
+
+/// Descriptors that are nobody's: standard streams, the runtime's and the signals' own, the listener, a watch
+/// beside the one that follows it, a file that is read.
+const OWN: usize = 16;
+/// Collectors of a zone: the one, its next connection before the old one is seen to end, and some doubt.
+const COLLECTORS: usize = 4;
+
+/// The descriptors dealt out. Every proxy may come here, so their part is whole before others have any.
+#[derive(Debug, PartialEq)]
+pub struct Budget {
+    pub strangers: usize,
+    pub collectors: usize,
+    pub probes: usize,
+}
+
+impl Budget {
+    pub fn new(sockets: usize, proxies: usize, zones: usize) -> Budget {
+        let collectors = COLLECTORS * zones.max(1);
+        // Where not even the proxies fit, an eighth still lets them come in.
+        let left = sockets.saturating_sub(OWN + proxies + collectors).max(sockets / 8).max(2);
+        Budget { strangers: left - left / 4, collectors, probes: (left / 4).max(1) }
+    }
+}
+
+/// Connections of one kind, whoever was silent the longest first.
+pub struct Places {
+    taken: RefCell<VecDeque<(StreamId, Rc<Notify>)>>,
+    most: usize,
+}
+
+impl Places {
+    pub fn new(most: usize) -> Places {
+        Places { taken: RefCell::default(), most }
+    }
+
+    /// The one that is told here has to go once the answer is notified.
+    pub fn take(&self, id: StreamId) -> Rc<Notify> {
+        if self.taken.borrow().len() >= self.most {
+            self.put_out();
+        }
+        let out = Rc::new(Notify::new());
+        self.taken.borrow_mut().push_back((id, out.clone()));
+        out
+    }
+
+    pub fn leave(&self, id: StreamId) {
+        self.taken.borrow_mut().retain(|(taken, _)| *taken != id);
+    }
+
+    pub fn spoke(&self, id: StreamId) {
+        let mut taken = self.taken.borrow_mut();
+        if let Some(place) = taken.iter().position(|(taken, _)| *taken == id) {
+            let last = taken.remove(place).expect("a known place");
+            taken.push_back(last);
+        }
+    }
+
+    pub fn put_out(&self) {
+        let first = self.taken.borrow_mut().pop_front();
+        first.into_iter().for_each(|(_, out)| out.notify_one());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_proxies_fit_beside_strangers_collectors_and_probes() {
+        for (sockets, proxies) in [(256, 150), (384, 150), (512, 400), (1024, 400)] {
+            let Budget { strangers, collectors, probes } = Budget::new(sockets, proxies, 3);
+            assert!(OWN + proxies + strangers + collectors + probes <= sockets);
+            assert!(strangers > 2 * probes && probes > 0 && collectors > 3);
+        }
+        assert_eq!(Budget::new(24, 400, 3), Budget { strangers: 3, collectors: 12, probes: 1 });
+    }
+
+    #[test]
+    fn who_was_silent_the_longest_gives_way() {
+        let places = Places::new(2);
+        let out: Vec<Rc<Notify>> = [1, 2].map(|id| places.take(StreamId(id))).into();
+        places.spoke(StreamId(1));
+        places.take(StreamId(3));
+        let told = |of: &Rc<Notify>| std::pin::pin!(of.notified()).as_mut().enable();
+        assert_eq!(out.iter().map(told).collect::<Vec<_>>(), [false, true]);
+    }
+}
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -1,23 +1,24 @@
 //! Where proxies and collectors connect: accepting, and the life of each connection.
 
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
+use juniperrail_interface::ProxyId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout};
 
 use crate::decider::{Hello, News, StreamId};
 use crate::fault::{Fault, Reached};
-use crate::text::{self, Message};
+use crate::places::Places;
+use crate::text::{self, Flaw, Message};
 
 /// Messages that may wait for a proxy that reads slowly, besides what its socket holds.
 const WAITING: usize = 64;
@@ -25,25 +26,26 @@
 /// Bytes taken from a socket at a time, at least.
 const ROOM: usize = 4096;
 
+/// Who has not joined so long after connecting is neither a proxy nor a collector; who is turned away has as
+/// long again to take its leave.
+const JOIN_WITHIN: Duration = Duration::from_secs(1);
+
+/// Bytes that one who is turned away may still send without a reset.
+const FAREWELL: usize = 64 << 10;
+
 /// What all connections share.
 pub struct Doors {
     pub news: mpsc::Sender<News>,
     /// The proxies are numbered below this.
     pub proxies: u16,
-    /// Connections that have not said who they are, oldest first, and how many there may be.
-    pub strangers: RefCell<VecDeque<(StreamId, Rc<Notify>)>>,
-    pub strangers_most: usize,
+    /// Nobody comes from a zone that the settings don't name.
+    pub zones: Vec<String>,
+    /// Connections that have not said who they are.
+    pub strangers: Places,
+    pub collectors: Places,
     pub last: Cell<u64>,
 }
 
-impl Doors {
-    /// Strangers that say nothing never take the place of proxies: the oldest is put out.
-    fn put_out(&self) -> bool {
-        let oldest = self.strangers.borrow_mut().pop_front();
-        oldest.map(|(_, out)| out.notify_one()).is_some()
-    }
-}
-
 /// Takes connections for good.
 pub async fn accept(listener: TcpListener, doors: Rc<Doors>, pause: Duration) {
     let mut failing = false;
@@ -52,22 +54,20 @@
         let failed_before = std::mem::replace(&mut failing, taken.is_err());
         match taken {
             Ok((socket, from)) => {
-                if doors.strangers.borrow().len() >= doors.strangers_most && doors.put_out() {
-                    log::debug!("too many strangers: the oldest is put out");
-                }
                 doors.last.set(doors.last.get() + 1);
                 let id = StreamId(doors.last.get());
-                let put_out = Rc::new(Notify::new());
-                doors.strangers.borrow_mut().push_back((id, put_out.clone()));
+                let put_out = doors.strangers.take(id);
                 let life = life(id, socket, put_out, doors.clone());
                 spawn_local(end(id, from, life, doors.clone()));
+                // Guards against putting out, in a rush, who has joined already but was not yet read.
+                yield_now().await;
             }
             // Guards against running out of descriptors: a stranger's is taken back, all others stay.
             Err(cause) => {
                 if !failed_before {
                     log::error!("no connection can be taken: {cause}");
                 }
-                doors.put_out();
+                doors.strangers.put_out();
                 sleep(pause).await;
             }
         }
@@ -90,7 +90,8 @@
         }
     };
     log::debug!("the connection from {from} ended: {why:?}");
-    doors.strangers.borrow_mut().retain(|(stranger, _)| *stranger != id);
+    doors.strangers.leave(id);
+    doors.collectors.leave(id);
     _ = doors.news.send(News::Ended(id, why)).await;
 }
 
@@ -100,33 +101,87 @@
     let (read, mut write) = socket.into_split();
     let mut lines = Lines { read, text: BytesMut::new(), seen: 0 };
     let first = tokio::select! {
-        first = introduction(&mut lines, &mut write) => first?,
+        biased;
+        first = introduction(&mut lines, &mut write, &doors) => first,
         () = put_out.notified() => return Ok(()),
+        () = sleep(JOIN_WITHIN) => Err(Fault { late: true, ..Fault::reading("it did not join in time") }),
+    };
+    let first = match first {
+        Ok(Some(first)) => first,
+        Ok(None) => return Ok(()),
+        Err(fault) => {
+            _ = doors.news.send(News::TurnedAway(fault.to_string())).await;
+            tokio::select! {
+                () = put_out.notified() => {}
+                () = turn_away(&fault, lines, write) => {}
+            }
+            return Ok(());
+        }
     };
-    doors.strangers.borrow_mut().retain(|(stranger, _)| *stranger != id);
+    doors.strangers.leave(id);
     match first {
-        Some(Message::Hello { proxy, zone, inv_per_second, fresh }) => {
+        Message::Hello { proxy, zone, inv_per_second, fresh } => {
             let hello = Hello { proxy, zone, inv_per_second, fresh };
             proxy_stream(id, hello, lines, write, doors).await
         }
-        Some(_) => collector(lines, write, doors).await,
-        None => Ok(()),
+        _ => {
+            let put_out = doors.collectors.take(id);
+            tokio::select! {
+                end = collector(id, lines, write, doors) => end,
+                () = put_out.notified() => Ok(()),
+            }
+        }
     }
 }
 
-/// What a connection is, its first message says; probes are answered before as well.
-async fn introduction(lines: &mut Lines, write: &mut OwnedWriteHalf) -> Result<Option<Message>, Fault> {
+/// What a connection is, its first message says; probes are answered before as well. A fault is a stranger's.
+async fn introduction(
+    lines: &mut Lines,
+    write: &mut OwnedWriteHalf,
+    doors: &Doors,
+) -> Result<Option<Message>, Fault> {
     while let Some(line) = lines.next(text::LONGEST_FIRST).await? {
-        match text::read(&line).map_err(Fault::reading)? {
-            Message::Probe => write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?,
-            Message::Report(_) => return Err(Fault::reading("a report came before any introduction")),
-            first => return Ok(Some(first)),
-        }
+        let why = match text::read(&line) {
+            Ok(Message::Probe) => {
+                write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?;
+                continue;
+            }
+            Ok(Message::Hello { proxy, .. }) if proxy >= doors.proxies => {
+                format!("there is no proxy {proxy}")
+            }
+            Ok(Message::Hello { ref zone, .. } | Message::Agent { ref zone })
+                if !doors.zones.contains(zone) =>
+            {
+                format!("there is no zone {zone:?}")
+            }
+            Ok(Message::Report(_)) => "a report came before any introduction".into(),
+            Ok(first) => return Ok(Some(first)),
+            Err(Flaw::Spoilt(why) | Flaw::Unreadable(why)) => why,
+        };
+        return Err(Fault::reading(why));
     }
     Ok(None)
 }
 
-/// Reads and writes go on side by side; a stream that brings what can't be read has left.
+/// Says `error` and ends the connection so that the peer sees its end: closing on bytes unread would reset it.
+async fn turn_away(fault: &Fault, mut lines: Lines, mut write: OwnedWriteHalf) {
+    // Who does not even take this gets the end alone.
+    _ = write.try_write(if fault.late { text::LATE } else { text::TURNED_AWAY });
+    _ = write.shutdown().await;
+    _ = timeout(JOIN_WITHIN, async {
+        let mut left = FAREWELL;
+        while left > 0 {
+            lines.text.clear();
+            match lines.read.read_buf(&mut lines.text).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => left = left.saturating_sub(read),
+            }
+        }
+    })
+    .await;
+}
+
+/// Reads and writes go on side by side; a stream that brings what can't be read as messages has left.
 async fn proxy_stream(
     id: StreamId,
     hello: Hello,
@@ -134,19 +189,15 @@
     mut write: OwnedWriteHalf,
     doors: Rc<Doors>,
 ) -> Result<(), Fault> {
-    let proxy = hello.proxy;
-    if proxy >= doors.proxies {
-        return Err(Fault::reading(format!("there is no proxy {proxy}")));
-    }
+    let from = Some((id, ProxyId(hello.proxy)));
     let (orders, mut waiting) = mpsc::channel(WAITING);
     let answers = orders.downgrade();
     _ = doors.news.send(News::Joined { stream: id, hello, orders }).await;
     let reading = async {
         while let Some(line) = lines.next(text::LONGEST).await? {
-            match text::read(&line).map_err(Fault::reading)? {
-                Message::Report(report) => _ = doors.news.send(News::Said(Some(id), report)).await,
-                Message::Probe => _ = answers.upgrade().map(|orders| orders.try_send(text::ALIVE)),
-                other => return Err(Fault::reading(format!("proxy {proxy} goes on with {other:?}"))),
+            match heard(&line, from)? {
+                Some(news) => _ = doors.news.send(news).await,
+                None => _ = answers.upgrade().map(|orders| orders.try_send(text::ALIVE)),
             }
         }
         Ok(())
@@ -155,25 +206,41 @@
         while let Some(message) = waiting.recv().await {
             write.write_all(&message).await.map_err(Fault::io(Reached::Sent))?;
         }
-        // Another stream of this proxy took its place, or it did not read.
+        // Another stream of this proxy took its place, or it did not read, or it was silent for too long.
         Ok(())
     };
     tokio::select! { end = reading => end, end = writing => end }
 }
 
-/// Nothing is written to a collector but answers to probes; a line that can't be read is passed over.
-async fn collector(mut lines: Lines, mut write: OwnedWriteHalf, doors: Rc<Doors>) -> Result<(), Fault> {
+/// Nothing is written to a collector but answers to probes.
+async fn collector(
+    id: StreamId,
+    mut lines: Lines,
+    mut write: OwnedWriteHalf,
+    doors: Rc<Doors>,
+) -> Result<(), Fault> {
     while let Some(line) = lines.next(text::LONGEST).await? {
-        match text::read(&line) {
-            Ok(Message::Report(report)) => _ = doors.news.send(News::Said(None, report)).await,
-            Ok(Message::Probe) => write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?,
-            Ok(_) => {}
-            Err(why) => _ = doors.news.send(News::Odd(format!("from a collector: {why}"))).await,
+        doors.collectors.spoke(id);
+        match heard(&line, None)? {
+            Some(news) => _ = doors.news.send(news).await,
+            None => write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?,
         }
     }
     Ok(())
 }
 
+/// What a line of one who joined says; `None` is a probe. One spoilt message among sound ones costs itself
+/// alone; what is no message at all ends the connection.
+fn heard(line: &[u8], from: Option<(StreamId, ProxyId)>) -> Result<Option<News>, Fault> {
+    Ok(match text::read(line) {
+        Ok(Message::Probe) => None,
+        Ok(Message::Report(report)) => Some(News::Said(from, Ok(report))),
+        Ok(other) => Some(News::Said(from, Err(format!("out of place: {other:?}")))),
+        Err(Flaw::Spoilt(why)) => Some(News::Said(from, Err(why))),
+        Err(Flaw::Unreadable(why)) => return Err(Fault::reading(why)),
+    })
+}
+
 /// Lines as they come: in pieces, or many at once.
 struct Lines {
     read: OwnedReadHalf,
@@ -194,6 +261,9 @@
                 }
                 return Ok(Some(line));
             }
+            if !text::may_become_one(&self.text) {
+                return Err(Fault::reading("what can't be read"));
+            }
             self.seen = self.text.len();
             self.text.reserve(ROOM);
             if self.seen > longest {
@@ -216,8 +286,8 @@
     #[tokio::test]
     async fn a_panic_in_a_connection_ends_that_connection_alone() {
         let (news, mut told) = mpsc::channel(8);
-        let (strangers, last) = Default::default();
-        let doors = Rc::new(Doors { news, proxies: 1, strangers, strangers_most: 1, last });
+        let (strangers, collectors, last) = (Places::new(1), Places::new(1), Cell::default());
+        let doors = Rc::new(Doors { news, proxies: 1, zones: Vec::new(), strangers, collectors, last });
         let from = "127.0.0.1:1".parse().unwrap();
         let tasks = tokio::task::LocalSet::new();
         tasks.spawn_local(end(StreamId(1), from, async { panic!("out of range") }, doors.clone()));
--- a/crates/manager/src/tally.rs
+++ b/crates/manager/src/tally.rs
@@ -21,6 +21,7 @@
     pub silent: Count,
     pub spoke: usize,
     pub odd: Count,
+    pub away: Count,
     pub logged: Ms,
 }
 
@@ -42,5 +43,9 @@
         if odd > 0 {
             log::warn!("{odd} lines passed over, the last: {last}");
         }
+        let Count(away, last) = tally.away;
+        if away > 0 {
+            log::warn!("{away} strangers turned away, the last: {last}");
+        }
     }
 }
--- a/crates/manager/src/text.rs
+++ b/crates/manager/src/text.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Write;
+use std::str::FromStr;
 
 use bytes::Bytes;
 use juniperrail_interface::*;
@@ -9,9 +10,13 @@
 /// No message is longer; one before the introduction is far shorter.
 pub const LONGEST: usize = 1 << 20;
 pub const LONGEST_FIRST: usize = 4096;
+/// No figure is larger; as a time it is an hour.
+const MOST: f64 = 3_600_000.0;
 /// One message may come in so many parts.
 pub const PARTS: usize = 64;
 pub const ALIVE: Bytes = Bytes::from_static(b"alive\r\n");
+pub const LATE: &[u8] = b"error why=late\r\n";
+pub const TURNED_AWAY: &[u8] = b"error why=unreadable\r\n";
 
 /// What a peer said. Names stay names: who they belong to is known elsewhere.
 #[derive(Debug, PartialEq)]
@@ -41,6 +46,33 @@
     pub mark: Option<MarkId>,
 }
 
+/// Why a line is not taken.
+#[derive(Debug, PartialEq)]
+pub enum Flaw {
+    /// A known kind with a field that is missing, out of range or of another type: it alone is lost.
+    Spoilt(String),
+    /// No message at all: whoever sends it is of no further use.
+    Unreadable(String),
+}
+
+const KINDS: [&str; 6] = ["probe", "agent", "hello", "outcomes", "demand", "ack"];
+
+/// Whether what has come of a line can still become a message. Guards against bytes that go on for long
+/// without an end of a line: nobody need wait for that to know that they can't be read.
+pub fn may_become_one(start: &[u8]) -> bool {
+    let start = start.strip_suffix(b"\r").unwrap_or(start);
+    let end = start.iter().position(|byte| *byte == b' ');
+    let kind = &start[..end.unwrap_or(start.len())];
+    let fits = |known: &&str| {
+        if end.is_some() {
+            known.as_bytes() == kind
+        } else {
+            known.as_bytes().starts_with(kind)
+        }
+    };
+    KINDS.iter().any(fits) && !start.iter().any(u8::is_ascii_control)
+}
+
 struct Words<'a>(HashMap<&'a str, &'a str>);
 
 impl<'a> Words<'a> {
@@ -52,18 +84,26 @@
         self.text(name).map(str::to_string)
     }
 
-    /// A figure as the proxies mean them: finite and not below 0.
+    /// A time or a rate as the proxies mean them. Guards against figures that would drown all others.
     fn figure(&self, name: &str) -> Result<f64, String> {
         let text = self.text(name)?;
-        let figure = text.parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0);
+        let figure = text.parse().ok().filter(|figure| (0.0..=MOST).contains(figure));
         figure.ok_or_else(|| format!("{name} is no figure: {text:?}"))
     }
 
-    fn number(&self, name: &str) -> Result<u16, String> {
+    fn span(&self, name: &str) -> Result<Ms, String> {
+        self.figure(name).and_then(|span| if span > 0.0 { Ok(span) } else { Err(format!("{name} is 0")) })
+    }
+
+    fn number<N: FromStr>(&self, name: &str) -> Result<N, String> {
         let text = self.text(name)?;
         text.parse().map_err(|_| format!("{name} is no fitting whole number: {text:?}"))
     }
 
+    fn count(&self, name: &str) -> Result<f64, String> {
+        self.number::<u32>(name).map(f64::from)
+    }
+
     fn load(&self) -> Result<Load, String> {
         let mut load = Load::default();
         let pairs = self.0.get("metrics").copied().unwrap_or("");
@@ -77,7 +117,7 @@
 fn metric(load: &mut Load, pair: &str) -> Option<()> {
     // Reports set them apart by a colon, a worker's own answer by an equals sign.
     let (name, value) = pair.split_once([':', '='])?;
-    let value = Some(value.trim().parse().ok().filter(|value: &f64| value.is_finite())?);
+    let value = Some(value.trim().parse().ok().filter(|value| (0.0..=MOST).contains(value))?);
     match name.trim() {
         "inflight" => load.in_hand = value,
         "queue" => load.waiting = value,
@@ -99,11 +139,19 @@
 }
 
 /// Reads one line, its end taken off.
-pub fn read(line: &[u8]) -> Result<Message, String> {
-    let line = std::str::from_utf8(line).map_err(|_| "a line is no text".to_string())?;
-    let mut words = line.split(' ').filter(|word| !word.is_empty());
-    let kind = words.next().unwrap_or("");
-    let pairs = words.map(|word| word.split_once('=').ok_or_else(|| format!("{word:?} has no value")));
+pub fn read(line: &[u8]) -> Result<Message, Flaw> {
+    let line = std::str::from_utf8(line).map_err(|_| Flaw::Unreadable("a line is no text".into()))?;
+    let (kind, fields) = line.split_once(' ').unwrap_or((line, ""));
+    if !KINDS.contains(&kind) {
+        let kind: String = kind.chars().take(32).collect();
+        return Err(Flaw::Unreadable(format!("the kind {kind:?} is unknown")));
+    }
+    message(kind, fields).map_err(|why| Flaw::Spoilt(format!("{kind}: {why}")))
+}
+
+fn message(kind: &str, fields: &str) -> Result<Message, String> {
+    let pairs = fields.split(' ').filter(|word| !word.is_empty());
+    let pairs = pairs.map(|word| word.split_once('=').ok_or_else(|| format!("{word:?} has no value")));
     let words = Words(pairs.collect::<Result<_, _>>()?);
     Ok(match kind {
         "probe" => Message::Probe,
@@ -114,28 +162,36 @@
             inv_per_second: if words.0.contains_key("w") { words.figure("w")? } else { 0.0 },
             fresh: words.0.get("cold").is_some_and(|cold| *cold == "1"),
         },
-        "outcomes" => Message::Report(Report::Outcomes {
-            zone: words.owned("locality")?,
-            worker: words.owned("endpoint")?,
-            tries: words.figure("total")?,
-            bad: words.figure("errors")?,
-            mean: if words.0.contains_key("rtt") { words.figure("rtt")? } else { 0.0 },
-            over: words.figure("interval")?,
-            load: words.load()?,
-        }),
+        "outcomes" => {
+            let (tries, bad) = (words.count("total")?, words.count("errors")?);
+            if bad > tries {
+                return Err(format!("errors is more than total: {bad} of {tries}"));
+            }
+            Message::Report(Report::Outcomes {
+                zone: words.owned("locality")?,
+                worker: words.owned("endpoint")?,
+                tries,
+                bad,
+                // Nothing to take the mean of is no reason to pass over the rest.
+                mean: if tries > bad { words.figure("rtt")? } else { 0.0 },
+                over: words.span("interval")?,
+                load: words.load()?,
+            })
+        }
         "demand" => Message::Report(Report::Demand {
             proxy: words.number("node")?,
             op: words.owned("route")?,
-            invs: words.figure("total")?,
-            unanswered: words.figure("errors")?,
-            over: words.figure("interval")?,
+            invs: words.count("total")?,
+            // What came in the interval before may stay unanswered in this one.
+            unanswered: words.count("errors")?,
+            over: words.span("interval")?,
         }),
         "ack" => Message::Report(Report::Ack {
             proxy: words.number("node")?,
             mark: words.number("nonce")?,
-            took: if words.0.contains_key("latency") { words.figure("latency")? } else { 0.0 },
+            took: words.figure("latency")?,
         }),
-        other => return Err(format!("the kind {other:?} is unknown")),
+        other => unreachable!("{other:?} is none of the kinds"),
     })
 }
 
@@ -197,26 +253,57 @@
             Report::Demand { proxy: 17, op: "lookup".into(), invs: 19.0, unanswered: 0.0, over: 1000.0 };
         let text = b"demand node=17 route=lookup total=19 errors=0 interval=1000.0 later=word";
         assert_eq!(read(text), Ok(Message::Report(demand)));
+        let late = read(b"demand node=17 route=lookup total=0 errors=1 interval=1000.0");
+        assert!(matches!(late, Ok(Message::Report(Report::Demand { unanswered: 1.0, .. }))), "{late:?}");
         assert_eq!(super::load(b"inflight=7,queue=2,util=0.61\n").unwrap().waiting, Some(2.0));
         assert_eq!(super::load(b"busy"), None);
     }
 
     #[test]
     fn what_is_wrong_with_a_line_is_said() {
+        for line in [&b""[..], b"shout a=b", b"push out=s-1", b"GET / HTTP/1.1", b" probe", b"probe\xff"] {
+            assert!(matches!(read(line), Err(Flaw::Unreadable(_))), "{line:?}");
+        }
         for (line, expected) in [
-            (&b""[..], "kind \"\" is unknown"),
-            (b"shout a=b", "kind \"shout\" is unknown"),
-            (b"ack node", "\"node\" has no value"),
+            (&b"ack node"[..], "\"node\" has no value"),
+            (b"ack node=1 nonce=1", "latency is missing"),
+            (b"ack node=1 nonce=1 latency=", "latency is no figure"),
             (b"ack node=70000 nonce=1", "node is no fitting whole number"),
             (b"ack node=1 nonce=-1", "nonce is no fitting whole number"),
             (b"hello node=1", "locality is missing"),
             (b"hello node=1 locality=a w=inf", "w is no figure"),
-            (b"demand node=1 route=r total=-1 errors=0 interval=1", "total is no figure"),
-            (b"outcomes locality=a endpoint=s total=1 errors=0 interval=1 metrics=util", "metrics holds"),
-            (b"\xff", "no text"),
+            (b"demand node=1 route=r total=-1 errors=0 interval=1", "total is no fitting whole number"),
+            (b"demand node=1 route=r total=1e+3 errors=0 interval=1", "total is no fitting whole number"),
+            (
+                b"demand node=1 route=r total=38654705664 errors=0 interval=1",
+                "total is no fitting whole number",
+            ),
+            (
+                b"outcomes locality=a endpoint=s total=1 errors=2 rtt=1 interval=1",
+                "errors is more than total",
+            ),
+            (b"demand node=1 route=r total=1 errors=1 interval=0", "interval is 0"),
+            (b"demand node=1 route=r total=1 errors=1 interval=nan", "interval is no figure"),
+            (b"outcomes locality=a endpoint=s total=1 errors=0 interval=1", "rtt is missing"),
+            (
+                b"outcomes locality=a endpoint=s total=1 errors=0 rtt=38654705664 interval=1",
+                "rtt is no figure",
+            ),
+            (b"outcomes locality=a endpoint=s total=1 errors=1 interval=1 metrics=util", "metrics holds"),
+            (b"outcomes locality=a endpoint=s total=1 errors=1 interval=1 metrics=util:-1", "metrics holds"),
         ] {
-            let why = read(line).unwrap_err();
+            let Err(Flaw::Spoilt(why)) = read(line) else { panic!("{:?}", read(line)) };
             assert!(why.contains(expected), "{why}");
         }
     }
+
+    #[test]
+    fn what_will_be_no_message_is_known_before_its_line_ends() {
+        for start in [&b""[..], b"p", b"probe", b"probe\r", b"hello no", b"ack node=\xc3"] {
+            assert!(may_become_one(start), "{start:?}");
+        }
+        for start in [&b"GET"[..], b"probes", b"prob ", b"ack node=\0", b"\x16\x03\x01", b"\xff", b"\r\r"] {
+            assert!(!may_become_one(start), "{start:?}");
+        }
+    }
 }
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -173,56 +173,80 @@
 }
 
 #[test]
-fn what_cannot_be_read_ends_the_one_stream_concerned() {
+fn a_spoilt_message_costs_itself_alone() {
     let town = Town::new(64);
-    let mut sound = town.proxy(1);
-    sound.line_with("whole=1");
-    for (number, bad) in (2..).zip([
-        "ack node=1 nonce=70000",
+    let (mut proxy, mut collector) = (town.proxy(1), town.peer());
+    proxy.line_with("whole=1");
+    collector.say("agent locality=a");
+    for spoilt in [
+        "ack node=1 nonce=70000 latency=1",
+        "ack node=1 nonce=1",
+        "ack node=1 nonce=999 latency=1",
+        "ack node=2 nonce=1 latency=1",
         "demand node=1 route=lookup total=-3 errors=0 interval=1000",
         "demand node=1 route=lookup total=NaN errors=0 interval=1000",
+        "demand node=1 route=unheard-of total=1 errors=0 interval=1000",
         "outcomes locality=a",
+        "outcomes locality=a endpoint=s-1 total=x errors=0 rtt=1 interval=1000",
+        "outcomes locality=a endpoint=never-listed total=1 errors=0 rtt=1 interval=1000",
+        "outcomes locality=nowhere endpoint=s-1 total=1 errors=0 rtt=1 interval=1000",
         "hello node=2 locality=a w=1 cold=1",
-        "shout",
-        "",
-    ]) {
+    ] {
+        proxy.say(spoilt);
+        collector.say(spoilt);
+    }
+    proxy.alive();
+    collector.alive();
+}
+
+#[test]
+fn what_cannot_be_read_as_messages_ends_the_one_connection_concerned() {
+    let town = Town::new(64);
+    let mut sound = town.proxy(1);
+    sound.line_with("whole=1");
+    // Also where no end of a line ever comes.
+    for (number, bad) in (2..).zip(["shout\r\n", "\r\n", "GET / HTTP/1.1", "\u{16}\u{3}\u{1}", "ack \0"]) {
         let mut proxy = town.proxy(number);
         proxy.line_with("whole=1");
-        proxy.say(bad);
+        proxy.raw(bad);
         while proxy.line().is_some() {}
+        town.proxy(number).line_with("whole=1");
+        let mut collector = town.peer();
+        collector.say("agent locality=b");
+        collector.alive();
+        collector.raw(bad);
+        assert_eq!(collector.line(), None, "{bad:?}");
     }
-    for first in ["hello node=20 locality=a w=1 cold=1", "hello node=x", "ack node=1 nonce=1 latency=1"] {
-        let mut stranger = town.peer();
-        stranger.say(first);
-        assert_eq!(stranger.line(), None, "{first}");
-    }
-    let mut overlong = town.peer();
-    overlong.raw(&"x".repeat(8000));
-    assert_eq!(overlong.line(), None);
-    let half = town.proxy(9);
-    drop(half);
+    drop(town.proxy(9));
     sound.alive();
 }
 
 #[test]
-fn odd_reports_are_passed_over_and_the_connection_stays() {
+fn strangers_are_told_an_error_and_see_their_connections_end() {
     let town = Town::new(64);
-    let mut collector = town.peer();
-    for line in [
-        "agent locality=a",
-        "outcomes locality=a endpoint=s-1 total=x errors=0 rtt=1 interval=1000",
-        "outcomes locality=a endpoint=never-listed total=1 errors=0 rtt=1 interval=1000",
-        "demand node=1 route=unheard-of total=1 errors=0 interval=1000",
-        "what=ever",
-    ] {
-        collector.say(line);
-    }
-    collector.alive();
     let mut proxy = town.proxy(1);
     proxy.line_with("whole=1");
-    proxy.say("ack node=1 nonce=999 latency=1");
-    proxy.say("ack node=2 nonce=1 latency=1");
-    proxy.say("demand node=1 route=unheard-of total=1 errors=0 interval=1000");
+    let endless = "x".repeat(100_000);
+    for (first, why) in [
+        ("hello node=20 locality=a w=1 cold=1\r\n", "unreadable"),
+        ("hello node=2 locality=nowhere w=1 cold=1\r\n", "unreadable"),
+        ("hello node=x locality=a\r\n", "unreadable"),
+        ("agent locality=nowhere\r\n", "unreadable"),
+        ("ack node=1 nonce=1 latency=1\r\n", "unreadable"),
+        ("push out=s-1\r\nand more", "unreadable"),
+        ("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "unreadable"),
+        (&endless, "unreadable"),
+        ("hello node=2 loca", "late"),
+        ("", "late"),
+    ] {
+        let mut stranger = town.peer();
+        stranger.raw(first);
+        assert_eq!(stranger.line().as_deref(), Some(&*format!("error why={why}")), "{first:.20}");
+        assert_eq!(stranger.line(), None, "{first:.20}");
+    }
+    let mut asked = town.peer();
+    asked.alive();
+    assert_eq!(asked.line().as_deref(), Some("error why=late"), "a sign of life is no joining");
     proxy.alive();
 }
 
@@ -234,11 +258,28 @@
     let mut strangers: Vec<Peer> = (0..4).map(|_| town.peer()).collect();
     let last = town.proxy(2).line_with("whole=1");
     assert!(last.contains("s-1"), "{last}");
-    assert_eq!(strangers[0].line(), None, "the oldest is put out");
+    assert_eq!(strangers[0].line(), None, "the oldest is put out, before its time");
     strangers[3].alive();
     proxy.alive();
 }
 
+#[test]
+fn collectors_that_say_nothing_give_way_to_those_that_report() {
+    let town = Town::new(64);
+    let mut collectors: Vec<Peer> = (0..9).map(|_| town.peer()).collect();
+    for (place, collector) in collectors.iter_mut().enumerate() {
+        collector.say("agent locality=a");
+        collector.alive();
+        if place == 7 {
+            break;
+        }
+    }
+    collectors[0].alive();
+    collectors[8].say("agent locality=b");
+    assert_eq!(collectors[1].line(), None, "eight at most, for two zones");
+    collectors[0].alive();
+}
+
 #[test]
 fn running_out_of_descriptors_costs_strangers_and_no_proxy() {
     let path = std::env::temp_dir().join(format!("juniperrail-few-{}.json", std::process::id()));
