--- a/src/brain.rs
+++ b/src/brain.rs
@@ -114,8 +114,6 @@
     message: BTreeMap<ProxyId, f64>,
     adding: f64,
     changed: Ms,
-    dearth: f64,
-    whole: Ms,
     let_in: f64,
     let_in_at: Ms,
     jammed_at: f64,
@@ -134,7 +132,6 @@
             tables: tables(&start),
             let_in: 1.0,
             jammed_at: 1.0,
-            whole: now,
             wake: true,
             ask_at: start.list_asked.then_some(now),
             start,
@@ -300,13 +297,10 @@
         // Busyness is told late: for the cold, lost and late answers are strain even on idle cores.
         let Some(bears) = self.bears(now - settled, 0.0) else { return };
         self.strained = bears < if self.start.proxies_avoid { EASED.1 } else { EASED.0 };
-        // What came whole and was borne with ease is let in again at the first calm, once a jam.
-        self.whole = if self.let_in < 1.0 || bears < 1.0 { now } else { self.whole };
-        self.jammed_at = if now > self.whole + 2.0 * settled { 1.0 / NEAR } else { self.jammed_at };
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
-        let next = if step < SHED_IDLE.1 { self.let_in * step } else { near }.clamp(least, 1.0);
+        let next = (self.let_in * step).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
@@ -371,22 +365,22 @@
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
-    /// A proxy that let one in waits for its rate to allow the next: of what comes by chance at a pace, a rate
-    /// passes rate / (rate + pace). So all together let in the part meant, and the small nearly what they have.
     fn level(&self, table: &Table, op: usize, let_in: f64) -> f64 {
-        let part = let_in.powf(self.dearth / self.start.operations[op].billed_value.max(1e-9));
+        let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
+        let part = let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
         let share = self.start.level_kind == LevelKind::Share;
-        if part >= 1.0 || share || table.readers.is_empty() {
-            return part.max(if share { 0.0 } else { NO_LIMIT });
-        }
-        let paces: Vec<f64> = table.readers.iter().map(|id| self.demand(&self.proxies[id], op)).collect();
-        let passes = |rate: f64| paces.iter().map(|pace| rate * pace / (rate + pace)).sum::<f64>();
-        let (mut low, mut high, meant) = (0.1, NO_LIMIT, part * paces.iter().sum::<f64>());
-        while high > low * STEP.sqrt() {
-            let rate = (low * high).sqrt();
-            (low, high) = if passes(rate) < meant { (rate, high) } else { (low, rate) };
+        let proxies = table.readers.iter().filter(|_| part < 1.0 && !share);
+        let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
+        rates.sort_by(f64::total_cmp);
+        let mut left = rates.iter().sum::<f64>() * part;
+        for (place, rate) in rates.iter().enumerate() {
+            let each = left / (rates.len() - place) as f64;
+            if *rate >= each && each > 0.0 {
+                return stepped(each.max(0.1));
+            }
+            left -= rate;
         }
-        stepped(low)
+        part.max(if share { 0.0 } else { NO_LIMIT })
     }
 
     fn usable(&self, worker: &Worker) -> f64 {
@@ -404,15 +398,7 @@
                 *came.entry(table.id).or_default() += demand;
             }
         }
-        let all = came.values().sum::<f64>();
-        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / all;
-        // With the demand's harmonic mean of billed values all operations' parts add up to the part let in.
-        let ops = self.start.operations.iter().enumerate();
-        let cheap = ops.map(|(op, of)| {
-            let came = self.proxies.values().map(|proxy| self.demand(proxy, op)).sum::<f64>();
-            came / of.billed_value.max(1e-9)
-        });
-        self.dearth = all / cheap.sum::<f64>();
+        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / came.values().sum::<f64>();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| {
