--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
 /// Shedding is steered to a mean answer in latency objectives, and busyness; steps' bounds; least let in.
-const UNHURRIED: (f64, f64) = (0.4, 0.47);
+const UNHURRIED: (f64, f64) = (0.44, 0.47);
 const FULL: (f64, f64) = (0.85, 0.7);
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
@@ -300,7 +300,7 @@
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
-        let next = (self.let_in * step).min(near).clamp(least, 1.0);
+        let next = (self.let_in * if step < 1.0 { step } else { step * step }).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
@@ -460,9 +460,10 @@
         let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
         let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
         let multiple = self.start.overload_factor;
-        let spared = if self.strained && 2.0 * warm > all { 0.0 } else { (multiple / 4.0).min(1.0) };
-        let parts = if self.strained && self.parts > 0 { UNEVEN.1 } else { 1.0 };
-        parts * spared * (usable / all * multiple / 2.0).min(1.0)
+        let none = self.strained && 2.0 * warm > all && (self.start.proxies_avoid || self.parts > 0);
+        let spared = if none { 0.0 } else { (multiple / 4.0).min(1.0) };
+        let strain = if self.strained { UNEVEN.1 } else { 1.0 };
+        strain * spared * (usable / all * multiple / 2.0).min(1.0)
     }
 
     /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
