--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const FACTORS: (f64, f64) = (0.05, 2.0);
 const LOW: (f64, f64) = (0.5, 0.35);
 /// Shedding is steered to a mean answer in latency objectives, and busyness; steps' bounds; least let in.
-const UNHURRIED: (f64, f64) = (0.44, 0.47);
+const UNHURRIED: (f64, f64) = (0.4, 0.47);
 const FULL: (f64, f64) = (0.85, 0.7);
 const SHED: (f64, f64) = (0.4, 1.5);
 const SHED_IDLE: (f64, f64) = (0.85, 1.1);
@@ -114,6 +114,7 @@
     message: BTreeMap<ProxyId, f64>,
     adding: f64,
     changed: Ms,
+    probed: VecDeque<(Ms, f64)>,
     let_in: f64,
     let_in_at: Ms,
     jammed_at: f64,
@@ -153,6 +154,12 @@
         self.send();
         self.orders.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Order::FollowList(true)));
         let (after, handle) = ((self.start.report_period / 8.0).max(20.0), "beat".into());
+        // Where load shows to probes alone, one worker after another tells how busy the fleet is.
+        if self.wake && self.start.load_probed {
+            let ready: Vec<&Worker> = self.workers.values().filter(|w| w.listed.phase == Phase::Ready).collect();
+            let next = ready.get(self.rng.usize(..ready.len().max(1)));
+            self.orders.extend(next.map(|worker| Order::Probe { worker: worker.listed.worker }));
+        }
         self.orders.extend(std::mem::take(&mut self.wake).then_some(Order::Wake { after, handle }));
         std::mem::take(&mut self.orders)
     }
@@ -172,6 +179,10 @@
                 news.into_iter().for_each(|listed| self.list(listed));
             }
             Event::Woken { .. } => self.wake = true,
+            Event::Probed { load, .. } => {
+                self.probed.extend(load.busy.map(|busy| (self.now, busy)));
+                self.probed.retain(|(at, _)| self.now - at <= self.start.report_period);
+            }
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
                 self.proxies.insert(*proxy, Proxy { zone, inv_per_second, answered, ..Proxy::default() });
@@ -284,6 +295,8 @@
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let busy = mean(met.iter().filter_map(|met| met.busy));
+        let probed = self.probed.iter().filter(|(at, _)| self.now - at <= self.start.report_period);
+        let busy = busy.or(mean(probed.map(|(_, busy)| *busy)));
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
         // Idle cores are no overload: answers get lost, clients leave. Without parts they raise by a tenth.
