--- a/src/brain.rs
+++ b/src/brain.rs
@@ -295,16 +295,25 @@
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let busy = mean(met.iter().filter_map(|met| met.busy));
-        let probed = self.probed.iter().filter(|(at, _)| self.now - at <= self.start.report_period);
-        let busy = busy.or(mean(probed.map(|(_, busy)| *busy)));
+        let busy = busy.or(self.probed_busy());
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
         // Idle cores are no overload: answers get lost, clients leave. Without parts they raise by a tenth.
-        let idle = busy.filter(|b| *b < idle).map_or(0.0, |_| [SHED_IDLE.1, SHED.1][self.parts.min(1)]);
+        let idle = busy.filter(|b| *b < idle).map_or(0.0, |b| match self.start.load_probed {
+            true => FULL.1 / b.max(0.1),
+            false => [SHED_IDLE.1, SHED.1][self.parts.min(1)],
+        });
         let met = late.min(SHED.1 * (1.0 - lost).powi(2)).max(idle);
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
+    /// By the middle of what probes found lately.
+    fn probed_busy(&self) -> Option<f64> {
+        let recent = self.probed.iter().filter(|(at, _)| self.now - at <= self.start.report_period);
+        let recent: Vec<f64> = recent.map(|(_, busy)| *busy).collect();
+        (recent.len() as f64 >= ENOUGH).then(|| middle(recent))
+    }
+
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // Busyness is told late: for the cold, lost and late answers are strain even on idle cores.
@@ -313,6 +322,7 @@
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
+        let near = self.probed_busy().map_or(near, |busy| near.max(self.let_in * FULL.1 / busy));
         let next = (self.let_in * if step < 1.0 { step } else { step * step }).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
