--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -79,8 +79,6 @@
     /// All proxies, and the managers that they join.
     pub proxies: f64,
     pub managers: f64,
-    /// Load reports come with probes' answers and nowhere else.
-    pub load_probed: bool,
     /// The list must be asked for.
     pub list_asked: bool,
     pub ask_within: Ms,
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -87,13 +87,6 @@
     }
 }
 
-fn flag(from: &Value, path: &str) -> Result<bool, String> {
-    match at(from, path) {
-        Value::Null => Ok(false),
-        value => value.as_bool().ok_or_else(|| format!("the setting {path} is neither yes nor no: {value}")),
-    }
-}
-
 fn list<'a>(from: &'a Value, path: &str) -> Result<&'a [Value], String> {
     match at(from, path) {
         Value::Null => Ok(&[]),
@@ -161,7 +154,6 @@
         overload_factor: number(info, "rules.overload-factor")?,
         proxies: number(info, "domain.proxy-count")?,
         managers: number(info, "n-instances")?,
-        load_probed: text(info, "report.via")? == "probe" && flag(info, "allowed.probing")?,
         list_asked: text(info, "registry-mode")? == "ask",
         ask_within: number(info, "rules.must-ask-in-ms")?,
     };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -114,7 +114,7 @@
     message: BTreeMap<ProxyId, f64>,
     adding: f64,
     changed: Ms,
-    probed: VecDeque<(Ms, f64)>,
+    dearth: f64,
     let_in: f64,
     let_in_at: Ms,
     jammed_at: f64,
@@ -154,12 +154,6 @@
         self.send();
         self.orders.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Order::FollowList(true)));
         let (after, handle) = ((self.start.report_period / 8.0).max(20.0), "beat".into());
-        // Where load shows to probes alone, one worker after another tells how busy the fleet is.
-        if self.wake && self.start.load_probed {
-            let ready: Vec<&Worker> = self.workers.values().filter(|w| w.listed.phase == Phase::Ready).collect();
-            let next = ready.get(self.rng.usize(..ready.len().max(1)));
-            self.orders.extend(next.map(|worker| Order::Probe { worker: worker.listed.worker }));
-        }
         self.orders.extend(std::mem::take(&mut self.wake).then_some(Order::Wake { after, handle }));
         std::mem::take(&mut self.orders)
     }
@@ -179,10 +173,6 @@
                 news.into_iter().for_each(|listed| self.list(listed));
             }
             Event::Woken { .. } => self.wake = true,
-            Event::Probed { load, .. } => {
-                self.probed.extend(load.busy.map(|busy| (self.now, busy)));
-                self.probed.retain(|(at, _)| self.now - at <= self.start.report_period);
-            }
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
                 self.proxies.insert(*proxy, Proxy { zone, inv_per_second, answered, ..Proxy::default() });
@@ -295,25 +285,14 @@
         let unhurried = if self.let_in < 1.0 { UNHURRIED.0 } else { UNHURRIED.1 };
         let late = (unhurried * objectives.fold(f64::INFINITY, f64::min) / took.max(1.0)).sqrt();
         let busy = mean(met.iter().filter_map(|met| met.busy));
-        let busy = busy.or(self.probed_busy());
         let full = (FULL.0 / busy.unwrap_or(0.0).max(0.1)).powi(2);
         let tries: f64 = met.iter().map(|met| met.tries).sum();
         // Idle cores are no overload: answers get lost, clients leave. Without parts they raise by a tenth.
-        let idle = busy.filter(|b| *b < idle).map_or(0.0, |b| match self.start.load_probed {
-            true => FULL.1 / b.max(0.1),
-            false => [SHED_IDLE.1, SHED.1][self.parts.min(1)],
-        });
+        let idle = busy.filter(|b| *b < idle).map_or(0.0, |_| [SHED_IDLE.1, SHED.1][self.parts.min(1)]);
         let met = late.min(SHED.1 * (1.0 - lost).powi(2)).max(idle);
         Some(met.min(full).clamp(SHED.0, SHED.1).powf(tries / (tries + ENOUGH * ENOUGH)))
     }
 
-    /// By the middle of what probes found lately.
-    fn probed_busy(&self) -> Option<f64> {
-        let recent = self.probed.iter().filter(|(at, _)| self.now - at <= self.start.report_period);
-        let recent: Vec<f64> = recent.map(|(_, busy)| *busy).collect();
-        (recent.len() as f64 >= ENOUGH).then(|| middle(recent))
-    }
-
     fn ration(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         // Busyness is told late: for the cold, lost and late answers are strain even on idle cores.
@@ -322,7 +301,6 @@
         let Some(step) = self.bears((self.let_in_at + settled).max(now - settled), FULL.1) else { return };
         let least = LEAST_IN.0.min(self.let_in * SHED_IDLE.0).max(LEAST_IN.1);
         let near = (self.let_in * SHED_IDLE.1).max(NEAR * self.jammed_at);
-        let near = self.probed_busy().map_or(near, |busy| near.max(self.let_in * FULL.1 / busy));
         let next = (self.let_in * if step < 1.0 { step } else { step * step }).min(near).clamp(least, 1.0);
         if next != self.let_in && (step < SHED_IDLE.0 || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
@@ -388,22 +366,23 @@
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
+    /// A proxy holds a rate's worth of two: of what comes by chance at a pace, the more is refused the nearer the
+    /// rate is to it. So all proxies together let in the part meant, and the small nearly what they have.
     fn level(&self, table: &Table, op: usize, let_in: f64) -> f64 {
-        let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
-        let part = let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
+        let part = let_in.powf(2.0 * self.dearth / self.start.operations[op].billed_value.max(1e-9));
         let share = self.start.level_kind == LevelKind::Share;
-        let proxies = table.readers.iter().filter(|_| part < 1.0 && !share);
-        let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
-        rates.sort_by(f64::total_cmp);
-        let mut left = rates.iter().sum::<f64>() * part;
-        for (place, rate) in rates.iter().enumerate() {
-            let each = left / (rates.len() - place) as f64;
-            if *rate >= each && each > 0.0 {
-                return stepped(each.max(0.1));
-            }
-            left -= rate;
+        if part >= 1.0 || share || table.readers.is_empty() {
+            return part.max(if share { 0.0 } else { NO_LIMIT });
         }
-        part.max(if share { 0.0 } else { NO_LIMIT })
+        let paces: Vec<f64> = table.readers.iter().map(|id| self.demand(&self.proxies[id], op)).collect();
+        let passes = |rate: f64, pace: &f64| pace * (1.0 - 1.0 / (1.0 + (1.0 + rate / pace) * rate / pace));
+        let (mut low, mut high, meant) = (0.1, NO_LIMIT, part * paces.iter().sum::<f64>());
+        while high > low * STEP.sqrt() {
+            let rate = (low * high).sqrt();
+            let all: f64 = paces.iter().filter(|pace| **pace > 0.0).map(|pace| passes(rate, pace)).sum();
+            (low, high) = if all < meant { (rate, high) } else { (low, rate) };
+        }
+        stepped(low)
     }
 
     fn usable(&self, worker: &Worker) -> f64 {
@@ -421,7 +400,15 @@
                 *came.entry(table.id).or_default() += demand;
             }
         }
-        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / came.values().sum::<f64>();
+        let all = came.values().sum::<f64>();
+        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / all;
+        // With the demand's harmonic mean of billed values all operations' parts add up to the part let in.
+        let ops = self.start.operations.iter().enumerate();
+        let cheap = ops.map(|(op, of)| {
+            let came = self.proxies.values().map(|proxy| self.demand(proxy, op)).sum::<f64>();
+            came / of.billed_value.max(1e-9)
+        });
+        self.dearth = all / cheap.sum::<f64>();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| {
