--- a/src/brain.rs
+++ b/src/brain.rs
@@ -114,7 +114,6 @@
     message: BTreeMap<ProxyId, f64>,
     adding: f64,
     changed: Ms,
-    dearth: f64,
     let_in: f64,
     let_in_at: Ms,
     jammed_at: f64,
@@ -209,9 +208,8 @@
     fn list(&mut self, mut listed: Listed) {
         let known = self.workers.values().map(|worker| worker.listed.weight);
         listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
-        let (now, samples, part) = (self.now, VecDeque::new(), None);
-        let (factor, weighed) = (1.0, f64::NEG_INFINITY);
-        let fresh = Worker { listed: listed.clone(), told: now, factor, weighed, samples, part };
+        let (now, samples, weighed) = (self.now, VecDeque::new(), f64::NEG_INFINITY);
+        let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part: None };
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
@@ -366,23 +364,22 @@
         mean(rates.copied()).unwrap_or(proxy.inv_per_second / self.start.operations.len() as f64)
     }
 
-    /// A proxy holds a rate's worth of two: of what comes by chance at a pace, the more is refused the nearer the
-    /// rate is to it. So all proxies together let in the part meant, and the small nearly what they have.
     fn level(&self, table: &Table, op: usize, let_in: f64) -> f64 {
-        let part = let_in.powf(2.0 * self.dearth / self.start.operations[op].billed_value.max(1e-9));
+        let value = mean(self.start.operations.iter().map(|op| op.billed_value)).unwrap_or(1.0);
+        let part = let_in.powf(value / self.start.operations[op].billed_value.max(1e-9));
         let share = self.start.level_kind == LevelKind::Share;
-        if part >= 1.0 || share || table.readers.is_empty() {
-            return part.max(if share { 0.0 } else { NO_LIMIT });
-        }
-        let paces: Vec<f64> = table.readers.iter().map(|id| self.demand(&self.proxies[id], op)).collect();
-        let passes = |rate: f64, pace: &f64| pace * (1.0 - 1.0 / (1.0 + (1.0 + rate / pace) * rate / pace));
-        let (mut low, mut high, meant) = (0.1, NO_LIMIT, part * paces.iter().sum::<f64>());
-        while high > low * STEP.sqrt() {
-            let rate = (low * high).sqrt();
-            let all: f64 = paces.iter().filter(|pace| **pace > 0.0).map(|pace| passes(rate, pace)).sum();
-            (low, high) = if all < meant { (rate, high) } else { (low, rate) };
+        let proxies = table.readers.iter().filter(|_| part < 1.0 && !share);
+        let mut rates: Vec<f64> = proxies.map(|id| self.demand(&self.proxies[id], op)).collect();
+        rates.sort_by(f64::total_cmp);
+        let mut left = rates.iter().sum::<f64>() * part;
+        for (place, rate) in rates.iter().enumerate() {
+            let each = left / (rates.len() - place) as f64;
+            if *rate >= each && each > 0.0 {
+                return stepped(each.max(0.1));
+            }
+            left -= rate;
         }
-        stepped(low)
+        part.max(if share { 0.0 } else { NO_LIMIT })
     }
 
     fn usable(&self, worker: &Worker) -> f64 {
@@ -400,15 +397,7 @@
                 *came.entry(table.id).or_default() += demand;
             }
         }
-        let all = came.values().sum::<f64>();
-        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / all;
-        // With the demand's harmonic mean of billed values all operations' parts add up to the part let in.
-        let ops = self.start.operations.iter().enumerate();
-        let cheap = ops.map(|(op, of)| {
-            let came = self.proxies.values().map(|proxy| self.demand(proxy, op)).sum::<f64>();
-            came / of.billed_value.max(1e-9)
-        });
-        self.dearth = all / cheap.sum::<f64>();
+        let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / came.values().sum::<f64>();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
         tables.sort_by_cached_key(|t| {
@@ -469,11 +458,13 @@
         let all = open().map(|worker| worker.listed.weight).sum::<f64>().max(1e-9);
         let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
         let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
+        // None where others avoid who failed them, as the newcomer may be all that is left; else half.
+        let kept = match self.strained && (2.0 * warm > all || self.parts > 0) {
+            true if 2.0 * warm > all && (self.start.proxies_avoid || self.parts > 0) => 0.0,
+            strained => [1.0, UNEVEN.1][usize::from(strained)],
+        };
         let multiple = self.start.overload_factor;
-        let none = self.strained && 2.0 * warm > all && (self.start.proxies_avoid || self.parts > 0);
-        let spared = if none { 0.0 } else { (multiple / 4.0).min(1.0) };
-        let strain = if self.strained { UNEVEN.1 } else { 1.0 };
-        strain * spared * (usable / all * multiple / 2.0).min(1.0)
+        kept * (multiple / 4.0).min(1.0) * (usable / all * multiple / 2.0).min(1.0)
     }
 
     /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
