--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -251,6 +251,10 @@
     },
     FollowList(bool),
     FetchList,
+    /// No order names this worker any more unless a list does.
+    Forget {
+        worker: WorkerId,
+    },
     /// A weight of 0 removes the line.
     SetLine {
         table: TableId,
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -386,6 +386,11 @@
                 Order::Log { about: None, text } => log::info!("{text}"),
                 Order::Probe { worker } => self.probe(worker),
                 Order::FetchList => self.afresh.notify_one(),
+                Order::Forget { worker } => {
+                    log::debug!("{} is forgotten", self.names.workers.name(worker.0));
+                    self.plane.forget(worker);
+                    self.names.workers.forget(worker.0);
+                }
                 // The watch follows the list from the start on; there is no way to other managers.
                 Order::FollowList(_) | Order::Tell { .. } => {}
                 // Handed out above.
@@ -583,4 +588,27 @@
         assert_eq!(town.0.heard, [LEFT]);
         assert!(town.told(stream).contains("ticket=62"));
     }
+
+    #[test]
+    fn of_workers_long_gone_nothing_is_kept() {
+        let mut town = Town::new();
+        let entry = |id: u64, lifecycle: &str| {
+            let about = r#""hostPort":"127.0.0.1:1","zone":"a","weight":1"#;
+            format!(r#"{{"instanceId":"s-{id}","lifecycle":"{lifecycle}",{about}}}"#)
+        };
+        let stream = town.join(true);
+        town.turn();
+        for id in 2..40 {
+            let entries = [entry(id, "ready"), entry(id - 1, "gone")].join(",");
+            let listing = format!(r#"{{"generation":{id},"instances":[{entries}]}}"#);
+            town.0.hear(News::Listing(serde_json::from_str(&listing).unwrap()));
+            town.turn();
+            for mark in town.told(stream).split("ticket=").skip(1) {
+                town.ack(stream, mark.split_whitespace().next().unwrap().parse().unwrap());
+            }
+            town.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id as u32 - 2) }]);
+        }
+        assert_eq!((town.0.names.workers.count(), town.0.listed.len(), town.0.addresses.len()), (1, 1, 1));
+        assert_eq!(town.0.names.workers.known("s-39"), Some(38), "ids are not given out again");
+    }
 }
--- a/crates/manager/src/plane.rs
+++ b/crates/manager/src/plane.rs
@@ -69,6 +69,18 @@
         }
     }
 
+    /// Nothing names it any more. Should it come again under its name, who was told to shut it out still does
+    /// so: such a proxy is then like one whose orders came from elsewhere.
+    pub fn forget(&mut self, worker: WorkerId) {
+        self.held.remove(&worker);
+        self.doubtful.remove(&worker);
+        self.tables.values_mut().for_each(|table| _ = table.lines.remove(&worker));
+        for proxy in self.proxies.values_mut() {
+            let shut = proxy.told.remove(&worker);
+            proxy.fresh &= shut != Some(true);
+        }
+    }
+
     /// The decisions start anew: tables and holds are forgotten as after a restart, not what proxies were told.
     pub fn restart(&mut self) {
         (self.tables, self.held, self.everyone) = Default::default();
@@ -369,4 +381,25 @@
         plane.joined(ProxyId(1), false);
         assert_eq!(told(&mut plane, &[bind(T, 0, 1)])[0].1, "push whole=1 lines=a:1,b:2,c:1 back=b,c\r\n");
     }
+
+    #[test]
+    fn who_was_shut_out_and_forgotten_is_let_back_if_it_comes_again() {
+        let mut plane = plane(1);
+        told(&mut plane, &[line(T, 0, 1.0), line(T, 1, 1.0), bind(T, 0, 0), hold(1, true), line(T, 1, 0.0)]);
+        plane.forget(WorkerId(1));
+        assert!(plane.held.is_empty() && plane.proxies[&ProxyId(0)].told.is_empty());
+        // The same worker under another id, as the list now has it.
+        let (zone, machine, cell) = (ZoneId(0), MachineId(0), CellId(0));
+        let worker = WorkerId(2);
+        plane.listed(&Listed {
+            worker,
+            phase: Phase::Ready,
+            booted: Some(5.0),
+            zone,
+            machine,
+            cell,
+            weight: 1.0,
+        });
+        assert_eq!(told(&mut plane, &[line(T, 2, 1.0)])[0].1, "push lines=c:1 back=c\r\n");
+    }
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -291,6 +291,8 @@
             };
             writeln!(reply, "RATION {table} {ops} {level} {how}")
         }
+        // There a worker that was listed once stays known.
+        Order::Forget { .. } => Ok(()),
         Order::Mark { number, everyone } => writeln!(reply, "STAMP {} {}", u8::from(*everyone), number.0),
     };
     written.expect("text can always be added to a string");
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -11,7 +11,9 @@
 #[derive(Clone, Default)]
 pub struct Named {
     ids: HashMap<String, u32>,
-    names: Vec<String>,
+    names: HashMap<u32, String>,
+    /// Ids are given out once, so that what was forgotten never stands for something else.
+    next: u32,
 }
 
 impl Named {
@@ -19,12 +21,18 @@
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
-        let id = self.names.len() as u32;
-        self.names.push(name.to_string());
+        let id = self.next;
+        self.next += 1;
+        self.names.insert(id, name.to_string());
         self.ids.insert(name.to_string(), id);
         id
     }
 
+    pub fn forget(&mut self, id: u32) {
+        let name = self.names.remove(&id);
+        name.into_iter().for_each(|name| _ = self.ids.remove(&name));
+    }
+
     pub fn known(&self, name: &str) -> Option<u32> {
         self.ids.get(name).copied()
     }
@@ -34,7 +42,7 @@
     }
 
     pub fn name(&self, id: u32) -> &str {
-        &self.names[id as usize]
+        &self.names[&id]
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -147,6 +147,7 @@
             self.weigh();
             self.ration();
             self.split();
+            self.forget();
             self.plan();
         }
         self.settle();
@@ -164,12 +165,10 @@
                 self.ask_at = self.start.list_asked.then_some(self.now + apart);
             }
             Event::List { kind, workers, .. } => {
-                let listed: BTreeSet<WorkerId> = workers.iter().map(|listed| listed.worker).collect();
-                let full = *kind != ListKind::Changes;
-                let gone = self.workers.values().filter(|w| full && !listed.contains(&w.listed.worker));
-                let gone = gone.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() });
-                let news: Vec<Listed> = gone.chain(workers.iter().cloned()).collect();
-                news.into_iter().for_each(|listed| self.list(listed));
+                let listed = |id| *kind == ListKind::Changes || workers.iter().any(|of| of.worker == id);
+                let gone = self.workers.values().filter(|w| !listed(w.listed.worker));
+                let gone: Vec<_> = gone.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() }).collect();
+                gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
             }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
@@ -184,10 +183,9 @@
             Event::Answered { mark, proxy, .. } => {
                 let mark = self.mark.saturating_sub(self.mark.wrapping_sub(u64::from(mark.0)) & 0xffff);
                 let Some(known) = self.proxies.get_mut(proxy).filter(|p| p.answered < mark) else { return };
-                known.answered = mark;
+                (known.answered, self.proven) = (mark, self.now);
                 self.waits = self.waits.split_off(&(mark, ProxyId(0)));
                 self.waits.remove(&(mark, *proxy));
-                self.proven = self.now;
             }
             Event::ProxySums { proxy, op, invs, over, .. } => {
                 let Some(known) = self.proxies.get_mut(proxy) else { return };
@@ -210,13 +208,14 @@
         listed.weight = if listed.weight > 0.0 { listed.weight } else { mean(known).unwrap_or(1.0) };
         let (now, samples, weighed) = (self.now, VecDeque::new(), f64::NEG_INFINITY);
         let fresh = Worker { listed: listed.clone(), told: now, factor: 1.0, weighed, samples, part: None };
+        let unknown = Entry { wanted: f64::NAN, sent: f64::NAN, owed: None };
+        self.entries.entry(Key::Hold(listed.worker)).or_insert(unknown);
         let worker = self.workers.entry(listed.worker).or_insert(fresh);
         if listed.booted > worker.listed.booted {
             (worker.factor, worker.samples) = (1.0, VecDeque::new());
         }
         let left = worker.listed.phase == Phase::Ready && listed.phase != Phase::Ready;
-        worker.told = if left { now } else { worker.told };
-        worker.listed = listed;
+        (worker.told, worker.listed) = (if left { now } else { worker.told }, listed);
     }
 
     fn warmth(&self, listed: &Listed) -> f64 {
@@ -237,8 +236,7 @@
     fn weigh(&mut self) {
         let (now, settled) = (self.now, self.start.report_period + self.start.transit_worst);
         let lost = 2.0 * self.start.operations.iter().map(|op| op.latency_objective).fold(0.0, f64::max);
-        let peers = self.workers.values().map(|w| self.evidence(w, now - 2.0 * settled));
-        let peers: Vec<Sample> = peers.collect();
+        let peers: Vec<_> = self.workers.values().map(|w| self.evidence(w, now - 2.0 * settled)).collect();
         let tries: f64 = peers.iter().map(|met| met.tries).sum();
         let cost = peers.iter().map(|met| met.took + met.bad * lost).sum::<f64>() / tries;
         let busy = mean(peers.iter().filter_map(|met| met.busy));
@@ -267,8 +265,7 @@
                 let text = format!("to {factor:.2} of its weight: cost {ratio:.2} of its peers");
                 self.orders.push(Order::Log { about: Some(id), text });
             }
-            let worker = self.workers.get_mut(&id).expect("a known worker");
-            (worker.factor, worker.weighed) = (factor, now);
+            self.workers.entry(id).and_modify(|worker| (worker.factor, worker.weighed) = (factor, now));
         }
     }
 
@@ -387,6 +384,17 @@
         ready * worker.listed.weight * worker.factor * self.warmth(&worker.listed)
     }
 
+    /// Who is gone, and that is answered for, is forgotten with its hold: if it comes again, that is unknown.
+    fn forget(&mut self) {
+        let late = self.now - 2.0 * (self.start.report_period + self.start.transit_worst);
+        let of = |key: &Key, id: &WorkerId| matches!(key, Key::Hold(own) | Key::Line(_, own) if own == id);
+        let free = |id: &WorkerId, w: &Worker| w.told < late && !self.pending.iter().any(|key| of(key, id));
+        for (worker, _) in self.workers.extract_if(.., |id, w| w.listed.phase == Phase::Gone && free(id, w)) {
+            self.entries.retain(|key, _| !of(key, &worker));
+            self.orders.push(Order::Forget { worker });
+        }
+    }
+
     fn plan(&mut self) {
         let out = |worker: &Worker| f64::from(u8::from(worker.listed.phase != Phase::Ready));
         let mut wanted: Vec<_> = self.workers.iter().map(|(id, w)| (Key::Hold(*id), out(w))).collect();
@@ -400,9 +408,8 @@
         let fleet = self.workers.values().map(|w| self.usable(w)).sum::<f64>() / came.values().sum::<f64>();
         let mut carried: BTreeMap<WorkerId, f64> = BTreeMap::new();
         let mut tables: Vec<&Table> = self.tables.iter().collect();
-        tables.sort_by_cached_key(|t| {
-            (self.workers.values().filter(|w| t.open(w)).count(), t.ops.clone(), t.part)
-        });
+        let width = |t: &Table| self.workers.values().filter(|w| t.open(w)).count();
+        tables.sort_by_cached_key(|t| (width(t), t.ops.clone(), t.part));
         for group in tables.chunk_by(|a, b| a.ops == b.ops && a.part == b.part && !a.open.own_zone) {
             let workers: Vec<&Worker> = self.workers.values().filter(|w| group[0].open(w)).collect();
             let usable = workers.iter().map(|worker| self.usable(worker)).sum::<f64>().max(1e-9);
@@ -440,9 +447,8 @@
                     let weight = (self.usable(worker) * lean * cold * 1e3).round() / 1e3;
                     wanted.push((Key::Line(table.id, worker.listed.worker), weight));
                 }
-                let level =
-                    |&op: &usize| (Key::Level(table.id, OpId(op as u8)), self.level(table, op, let_in));
-                wanted.extend(table.ops.iter().map(level));
+                let of = |&op: &usize| (Key::Level(table.id, OpId(op as u8)), self.level(table, op, let_in));
+                wanted.extend(table.ops.iter().map(of));
             }
         }
         wanted.retain(|(key, value)| self.want(*key, *value));
@@ -458,13 +464,12 @@
         let all = open().map(|worker| worker.listed.weight).sum::<f64>().max(1e-9);
         let warm = open().filter(|w| w.listed.phase == Phase::Ready && self.warmth(&w.listed) >= 1.0);
         let warm = warm.map(|worker| worker.listed.weight).sum::<f64>();
-        // None where others avoid who failed them, as the newcomer may be all that is left; else half.
-        let kept = match self.strained && (2.0 * warm > all || self.parts > 0) {
-            true if 2.0 * warm > all && (self.start.proxies_avoid || self.parts > 0) => 0.0,
-            strained => [1.0, UNEVEN.1][usize::from(strained)],
-        };
-        let multiple = self.start.overload_factor;
-        kept * (multiple / 4.0).min(1.0) * (usable / all * multiple / 2.0).min(1.0)
+        // None where proxies avoid who failed them, as the newcomer may be all that is left; else half.
+        let (multiple, avoid) = (self.start.overload_factor, self.start.proxies_avoid || self.parts > 0);
+        let none = self.strained && avoid && 2.0 * warm > all;
+        let spared = if none { 0.0 } else { (multiple / 4.0).min(1.0) };
+        let strain = if self.strained { UNEVEN.1 } else { 1.0 };
+        strain * spared * (usable / all * multiple / 2.0).min(1.0)
     }
 
     /// Composes a write onto what is pending: the later wins, what is unanswered counts as unapplied.
@@ -504,8 +509,7 @@
         self.workers.keys().filter_map(line)
     }
 
-    /// Adds a pair. Where that closes a cycle, the oldest update's pair in it is dropped and every parent of
-    /// its first line linked to every child of its second.
+    /// Adds a pair. Of a cycle that closes, the oldest pair goes, its parents linked to its children.
     fn before(&mut self, parent: Key, child: Key) {
         self.pairs.insert((parent, child), self.now);
         while let Some(cycle) = self.path(parent, parent, &mut Vec::new()) {
@@ -531,7 +535,7 @@
         })
     }
 
-    /// A line is completed when every proxy bound to it answered a mark sent after it.
+    /// A line is completed when every proxy bound to it answered a mark sent after it, idle if none is left.
     fn settle(&mut self) {
         let answered = |id: &ProxyId| self.proxies[id].answered;
         let oldest: Vec<_> = self.tables.iter().map(|t| t.readers.iter().map(answered).min()).collect();
@@ -546,7 +550,6 @@
             };
             let entry = self.entries.get_mut(key).expect("a known key");
             match (entry.owed, answered) {
-                // Nobody is left to answer: idle again.
                 (Some(_), None) => (entry.sent, entry.owed) = (f64::NAN, None),
                 (Some(mark), Some(answered)) if answered >= mark => entry.owed = None,
                 _ => {}
@@ -579,10 +582,8 @@
             let (entry, ready) = (&self.entries[&key], !behind.contains(&key));
             if let (Key::Hold(id), true) = (key, entry.wanted > 0.0) {
                 let overdue = now >= self.workers[&id].told + PATIENCE * self.start.drain_grace;
-                if ready || overdue {
-                    let part = if overdue { TOPPED.1 } else { TOPPED.0 };
-                    self.add(key, most * part - waiting, 1.0);
-                }
+                let part = if overdue { TOPPED.1 } else { TOPPED.0 };
+                _ = (ready || overdue) && self.add(key, most * part - waiting, 1.0);
             } else if ready {
                 // A level is no weight: it would wait behind all lines of a fleet that grows.
                 changes.push((matches!(key, Key::Level(..)), (entry.wanted - entry.sent).abs(), key));
@@ -607,8 +608,7 @@
             }
         }
         if !self.message.is_empty() {
-            self.mark += 1;
-            self.adding = 0.0;
+            (self.mark, self.adding) = (self.mark + 1, 0.0);
             self.proven = if self.waits.is_empty() { now } else { self.proven };
             self.orders.push(Order::Mark { number: MarkId(self.mark as u16), everyone: false });
         }
@@ -642,8 +642,7 @@
             return false;
         }
         let entry = self.entries.get_mut(&key).expect("a known key");
-        entry.sent = entry.wanted;
-        entry.owed = (!to.is_empty()).then_some(self.mark + 1);
+        (entry.sent, entry.owed) = (entry.wanted, (!to.is_empty()).then_some(self.mark + 1));
         let level = entry.wanted;
         // Any other try multiplies an overload: one given up goes on working at its worker.
         let retry = if self.let_in < 1.0 { Retry::Never } else { Retry::IfUnrun };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -604,3 +604,21 @@
     let first = orders.iter().find(|o| matches!(o, Order::SetLine { .. } | Order::Admit { .. }));
     assert!(matches!(first, Some(Order::Admit { .. })), "{first:?}");
 }
+
+#[test]
+fn a_worker_long_gone_is_forgotten_and_let_back_should_it_come_again() {
+    let mut host = Host::running(start(), 4, 2);
+    host.seconds(2, 2, &[]);
+    host.after(100.0, &[change(vec![listed(0, Phase::Gone)])]);
+    let told = |orders: Vec<Order>| orders.contains(&Order::Forget { worker: WorkerId(0) });
+    // One proxy has not answered: its hold may not be in force there.
+    host.answer(1);
+    let mut forgotten = (0..20).any(|_| told(host.after(1000.0, &[])));
+    assert!(!forgotten && host.holds(0));
+    host.answer(2);
+    forgotten = (0..20).any(|_| told(host.after(1000.0, &[])) | told(host.answer(2)));
+    assert!(forgotten);
+    host.after(100.0, &[change(vec![restarted(0, host.now - 1e6)])]);
+    host.seconds(6, 2, &[]);
+    assert!(!host.holds(0) && host.weight(0) > 0.0);
+}
