--- a/src/brain.rs
+++ b/src/brain.rs
@@ -297,7 +297,7 @@
         let next = (self.let_in * if step < 1.0 { step } else { step * step }).min(near).clamp(least, 1.0);
         // Where no report tells busyness, a second cut would go by answers begun before the first: it waits.
         let blind = self.workers.values().flat_map(|w| &w.samples).all(|sample| sample.busy.is_none());
-        let again = blind && self.let_in < 1.0 && !self.rising && now < self.let_in_at + 2.5 * settled;
+        let again = blind && self.let_in < 1.0 && !self.rising && now < self.let_in_at + 1.75 * settled;
         if next != self.let_in && (step < SHED_IDLE.0 && !again || step >= SHED_IDLE.1) {
             self.jammed_at = if next < self.let_in && self.rising { self.let_in } else { self.jammed_at };
             (self.rising, self.let_in, self.let_in_at) = (next > self.let_in, next, now);
