The operators' model: YANG modules as one typed data tree, with XML, JSON and an XSD

Change: three YANG 1.1 modules in yang/ and crates/model, which reads them into schema nodes and holds data under them: typed leaves, keyed lists, XML and JSON (RFC 7951), paths, differences leaf by leaf, and the XML schema of the operators' file. Faults name line, path and rule. What a module uses and the reader does not know is refused by name.

--- /dev/null
+++ b/crates/model/src/json.rs
@@ -0,0 +1,138 @@
+//! JSON, RFC 7951: names with their module at the top and where it changes, wide figures as strings.
+
+use serde_json::{Map, Value as Json};
+
+use crate::data::{Content, Data};
+use crate::draft::Draft;
+use crate::fault::{Fault, Rule};
+use crate::path::{Path, Step};
+use crate::schema::{Kind, NodeId, Schema};
+use crate::value::{Type, Value};
+
+/// Data as one JSON object.
+pub fn write(schema: &Schema, data: &Data) -> Json {
+    let mut object = Map::new();
+    for (id, content) in data.iter() {
+        let node = schema.node(id);
+        let name = match schema.enters_module(id) {
+            true => format!("{}:{}", schema.modules[node.module].name, node.name),
+            false => node.name.clone(),
+        };
+        let json = match content {
+            Content::Inner(data) => write(schema, data),
+            Content::List(entries) => entries.values().map(|entry| write(schema, entry)).collect(),
+            Content::Leaf(value) => scalar(value, &node.kind),
+            Content::Leaves(values) => values.iter().map(|value| scalar(value, &node.kind)).collect(),
+        };
+        object.insert(name, json);
+    }
+    Json::Object(object)
+}
+
+/// One value, RFC 7951 section 6.
+pub fn scalar(value: &Value, kind: &Kind) -> Json {
+    let wide = matches!(
+        kind,
+        Kind::Leaf { ty: Type::Integer { wide: true, .. }, .. }
+            | Kind::LeafList { ty: Type::Integer { wide: true, .. } }
+    );
+    match value {
+        Value::Integer(number) if wide => number.to_string().into(),
+        Value::Integer(number) => i64::try_from(*number).map_or(Json::Null, Json::from),
+        Value::Decimal(..) => value.to_string().into(),
+        Value::Boolean(yes) => (*yes).into(),
+        Value::Text(text) => text.clone().into(),
+        Value::Empty => Json::Array(vec![Json::Null]),
+    }
+}
+
+/// A JSON object as drafts of configuration, below a place (`None`: the top).
+pub fn drafts(schema: &Schema, parent: Option<NodeId>, json: &Json) -> Result<Vec<Draft>, Fault> {
+    drafts_below(schema, parent, &Path::default(), json)
+}
+
+fn drafts_below(
+    schema: &Schema,
+    parent: Option<NodeId>,
+    at: &Path,
+    json: &Json,
+) -> Result<Vec<Draft>, Fault> {
+    let place = || at.spelled(schema);
+    let object = json.as_object();
+    let object =
+        object.ok_or_else(|| Fault::new(Rule::BadValue, place(), "", "an object should stand here"))?;
+    let mut drafts = Vec::new();
+    for (name, json) in object {
+        let (module, bare) = match name.split_once(':') {
+            Some((module, bare)) => {
+                let unknown =
+                    || Fault::new(Rule::UnknownNamespace, place(), name, format!("no module {module:?}"));
+                (Some(schema.module(module).ok_or_else(unknown)?), bare)
+            }
+            None => (parent.map(|parent| schema.node(parent).module), name.as_str()),
+        };
+        let unknown =
+            || Fault::new(Rule::UnknownElement, place(), name, format!("{name:?} has no place here"));
+        // RFC 7951 section 4: at the top a name without its module says nothing.
+        let id = module.and_then(|module| schema.child(parent, bare, Some(module))).ok_or_else(unknown)?;
+        let node = schema.node(id);
+        if !node.config {
+            let what = format!("{name} is state, which can be read only");
+            return Err(Fault::new(Rule::NotConfiguration, place(), name, what));
+        }
+        let array = || {
+            let what = format!("{name} should be an array");
+            json.as_array().ok_or_else(|| Fault::new(Rule::BadValue, place(), name, what))
+        };
+        let leaf = |ty: &Type, json: &Json| {
+            let value = read(ty, json).map_err(|why| {
+                Fault::new(Rule::BadValue, at.with(Step::to(id)).spelled(schema), name, why)
+            })?;
+            Ok(Draft { node: id, keys: vec![], value: Some(value), op: None, line: 0, below: vec![] })
+        };
+        match &node.kind {
+            Kind::Leaf { ty, .. } => drafts.push(leaf(ty, json)?),
+            Kind::LeafList { ty } => {
+                for json in array()? {
+                    drafts.push(leaf(ty, json)?);
+                }
+            }
+            Kind::Container { .. } => {
+                let below = drafts_below(schema, Some(id), &at.with(Step::to(id)), json)?;
+                drafts.push(Draft { node: id, keys: vec![], value: None, op: None, line: 0, below });
+            }
+            Kind::List { keys } => {
+                for json in array()? {
+                    let below = drafts_below(schema, Some(id), &at.with(Step::to(id)), json)?;
+                    let mut values = Vec::new();
+                    for key in keys {
+                        let found = below.iter().find(|draft| draft.node == *key);
+                        let key = &schema.node(*key).name;
+                        let missing = || {
+                            let at = at.with(Step::to(id)).spelled(schema);
+                            Fault::new(Rule::MissingElement, at, key, format!("the key {key} is missing"))
+                        };
+                        values.push(found.and_then(|draft| draft.value.clone()).ok_or_else(missing)?);
+                    }
+                    drafts.push(Draft { node: id, keys: values, value: None, op: None, line: 0, below });
+                }
+            }
+        }
+    }
+    Ok(drafts)
+}
+
+/// One value of a type.
+pub fn read(ty: &Type, json: &Json) -> Result<Value, String> {
+    match (ty, json) {
+        (Type::Empty, Json::Array(one)) if one[..] == [Json::Null] => Ok(Value::Empty),
+        (Type::Boolean, Json::Bool(yes)) => Ok(Value::Boolean(*yes)),
+        (Type::Integer { wide: false, .. }, Json::Number(number)) => ty.read(&number.to_string()),
+        (Type::Integer { wide: true, .. } | Type::Decimal { .. }, Json::String(text)) => ty.read(text),
+        (Type::Text { .. } | Type::Enumeration(_), Json::String(text)) => ty.read(text),
+        (Type::Integer { wide: true, .. } | Type::Decimal { .. }, Json::Number(_)) => {
+            Err(format!("{json} should be a string"))
+        }
+        _ => Err(format!("{} is not of this type", crate::value::quoted(&json.to_string()))),
+    }
+}
