--- /dev/null
+++ b/crates/intent/src/want.rs
@@ -0,0 +1,89 @@
+//! The operators' configuration as typed wishes, read from the data tree.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use juniperrail_interface::Ms;
+use juniperrail_model::{Data, Schema, View};
+
+/// The state that the operator wants of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Wanted {
+    #[default]
+    Follow,
+    Ready,
+    Draining,
+    Out,
+}
+
+/// Where a worker is that no discovery names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub zone: String,
+    pub machine: String,
+    pub cell: Option<u32>,
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wish {
+    pub wanted: Wanted,
+    pub weight: Option<f64>,
+    pub place: Option<Place>,
+}
+
+/// All that the running configuration wants of the decisions. What is `None` stays as the settings say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Intent {
+    pub workers: BTreeMap<String, Wish>,
+    pub drain_grace: Option<Ms>,
+    pub warm_up: Option<Ms>,
+    pub cold_share: Option<f64>,
+    pub overload_factor: Option<f64>,
+    /// By operation: the latency objective and the billed value.
+    pub operations: BTreeMap<String, (Option<Ms>, Option<f64>)>,
+}
+
+impl Intent {
+    /// From data of the schema, which has checked each value by itself.
+    pub fn read(schema: &Schema, data: &Data) -> Intent {
+        let top = View::new(schema, data);
+        let figures = top.inner("figures");
+        let text = |view: &View<'_>, name: &str| view.text(name).unwrap_or_default().to_string();
+        let place = |view: View<'_>| Place {
+            zone: text(&view, "zone"),
+            machine: text(&view, "machine"),
+            cell: view.leaf("cell").and_then(|cell| cell.as_u64()).and_then(|cell| u32::try_from(cell).ok()),
+            // The pattern lets figures through that are no address, as 300.1.1.1; those are never probed.
+            address: view.text("address").and_then(|address| address.parse().ok()),
+        };
+        let wish = |view: &View<'_>| Wish {
+            wanted: match view.text("wanted") {
+                Some("ready") => Wanted::Ready,
+                Some("draining") => Wanted::Draining,
+                Some("out") => Wanted::Out,
+                _ => Wanted::Follow,
+            },
+            weight: view.figure("weight"),
+            place: Some(view.inner("place")).filter(View::is_there).map(place),
+        };
+        let workers = top.inner("workers").entries("worker");
+        let operations = figures.entries("operation");
+        let figured = |view: &View<'_>| (view.figure("latency-objective"), view.figure("billed-value"));
+        Intent {
+            workers: workers.iter().map(|view| (text(view, "name"), wish(view))).collect(),
+            drain_grace: figures.figure("drain-grace"),
+            warm_up: figures.figure("warm-up"),
+            cold_share: figures.figure("cold-share"),
+            overload_factor: figures.figure("overload-factor"),
+            operations: operations.iter().map(|view| (text(view, "name"), figured(view))).collect(),
+        }
+    }
+
+    /// The workers of which two intents want something else.
+    pub fn differing<'a>(&'a self, other: &'a Intent) -> impl Iterator<Item = &'a str> {
+        let gone = self.workers.keys().filter(|name| !other.workers.contains_key(*name));
+        let new = other.workers.iter().filter(|(name, wish)| self.workers.get(*name) != Some(wish));
+        gone.chain(new.map(|(name, _)| name)).map(String::as_str)
+    }
+}
