Figures may change while the module runs, and it tells who holds a change

Change: Event::Figures lays new figures over the start's, all that was learned stays; Brain::holding counts joined proxies whose answers cover all that is wanted of some workers, Brain::waiting the lines no answer has proven gone.

--- a/crates/intent/tests/properties.rs
+++ b/crates/intent/tests/properties.rs
@@ -214,9 +214,9 @@
                 Step::Lock(session, store) => {
                     let changed = model.candidate.as_ref().is_some_and(|plain| *plain != model.running);
                     let waits = model.waits.as_ref().is_some_and(|(_, own, ..)| *own != session);
-                    let may = !model.locks.contains_key(&store)
-                        && !(store == Store::Candidate && changed)
-                        && !(store == Store::Running && waits);
+                    let taken = model.locks.contains_key(&store);
+                    let barred = if store == Store::Candidate { changed } else { waits };
+                    let may = !(taken || barred);
                     if may {
                         model.locks.insert(store, session);
                     }
--- a/crates/interface/src/lib.rs
+++ b/crates/interface/src/lib.rs
@@ -84,6 +84,17 @@
     pub ask_within: Ms,
 }
 
+/// Those of the start figures that may change while a manager runs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    pub drain_grace: Ms,
+    pub warm_up: Ms,
+    pub cold_share: f64,
+    pub overload_factor: f64,
+    /// Each operation's latency objective and billed value, in the order of [`Start::operations`].
+    pub operations: Vec<(Ms, f64)>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     Ready,
@@ -142,6 +153,8 @@
         version: u64,
         workers: Vec<Listed>,
     },
+    /// Figures changed while running; all that was learned stays.
+    Figures(Figures),
     Woken {
         handle: String,
     },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -156,6 +156,24 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// How many joined proxies hold all that is wanted of these workers, by their answers.
+    pub fn holding(&self, of: &BTreeSet<WorkerId>) -> usize {
+        let about = |key: &&Key| matches!(key, Key::Hold(id) | Key::Line(_, id) if of.contains(id));
+        let open = self.pending.iter().filter(about).map(|key| (&self.entries[key], self.reach(*key)));
+        let open: Vec<(&Entry, BTreeSet<ProxyId>)> = open.collect();
+        let answered = |proxy: &Proxy, e: &Entry| e.owed.is_none_or(|mark| proxy.answered >= mark);
+        let holds = |(id, proxy): &(&ProxyId, &Proxy)| {
+            let done = |e: &Entry| e.wanted == e.sent && answered(proxy, e);
+            proxy.bound && open.iter().all(|(entry, to)| !to.contains(id) || done(entry))
+        };
+        self.proxies.iter().filter(holds).count()
+    }
+
+    /// Lines written that no answer has proven to have left the channel.
+    pub fn waiting(&self) -> f64 {
+        self.waits.values().sum()
+    }
+
     fn hear(&mut self, event: &Event) {
         match event {
             Event::List { kind: ListKind::Failed, .. } => {
@@ -168,6 +186,14 @@
                 let gone: Vec<_> = gone.map(|w| Listed { phase: Phase::Gone, ..w.listed.clone() }).collect();
                 gone.iter().chain(workers).for_each(|listed| self.list(listed.clone()));
             }
+            Event::Figures(told) => {
+                let start = &mut self.start;
+                (start.drain_grace, start.warm_up) = (told.drain_grace, told.warm_up);
+                (start.cold_share, start.overload_factor) = (told.cold_share, told.overload_factor);
+                for (op, told) in start.operations.iter_mut().zip(&told.operations) {
+                    (op.latency_objective, op.billed_value) = *told;
+                }
+            }
             Event::Woken { .. } => self.wake = true,
             Event::Joined { proxy, inv_per_second, zone, .. } => {
                 let (zone, inv_per_second, answered) = (*zone, *inv_per_second, self.mark);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -638,3 +638,66 @@
     host.seconds(6, 2, &[]);
     assert!(!host.holds(0) && host.weight(0) > 0.0);
 }
+
+fn figures(of: &Start) -> Figures {
+    Figures {
+        drain_grace: of.drain_grace,
+        warm_up: of.warm_up,
+        cold_share: of.cold_share,
+        overload_factor: of.overload_factor,
+        operations: of.operations.iter().map(|op| (op.latency_objective, op.billed_value)).collect(),
+    }
+}
+
+#[test]
+fn a_figure_changed_while_running_holds_from_then_on_and_nothing_is_forgotten() {
+    let mut host = Host::running(start(), 4, 2);
+    let booted = host.now - 2_000.0;
+    host.after(600.0, &[change(vec![restarted(1, booted)])]);
+    host.answer(2);
+    assert!(host.weight(1) < 0.5, "cold by the settings' 16 s");
+    let orders = host.after(600.0, &[Event::Figures(Figures { warm_up: 1_000.0, ..figures(&start()) })]);
+    assert_eq!(
+        (lines(&orders), host.weight(1)),
+        (1, 1.0),
+        "warm by the shorter time, and nobody else is written"
+    );
+    host.answer(2);
+    // A shorter grace brings a hold that waits for its replacements forward.
+    let mut short = Host::running(start(), 1, 2);
+    let mut long = Host::running(start(), 1, 2);
+    short.after(600.0, &[Event::Figures(Figures { drain_grace: 500.0, ..figures(&start()) })]);
+    long.after(600.0, &[]);
+    for host in [&mut short, &mut long] {
+        host.after(10.0, &[change(vec![listed(0, Phase::Draining), listed(1, Phase::Ready)])]);
+        host.after(210.0, &[]);
+    }
+    assert!(short.holds(0) && !long.holds(0));
+}
+
+#[test]
+fn who_holds_a_change_is_told_by_answers_alone() {
+    let of = std::collections::BTreeSet::from([WorkerId(1)]);
+    let mut host = Host::running(start(), 4, 3);
+    assert_eq!(host.brain.holding(&of), 3, "nothing is under way");
+    host.after(600.0, &[change(vec![listed(1, Phase::Draining)])]);
+    assert_eq!(host.brain.holding(&of), 0, "told and not answered");
+    let mark = *host.marks.last().unwrap();
+    let answer = |proxy| Event::Answered { mark, took: 1.0, proxy: ProxyId(proxy) };
+    host.after(50.0, &[answer(0), answer(2)]);
+    host.after(600.0, &[]);
+    assert!(host.brain.holding(&of) < 3, "one is slow");
+    host.answer(3);
+    host.after(600.0, &[]);
+    host.answer(3);
+    assert_eq!(host.brain.holding(&of), 3);
+    host.after(600.0, &[heavier(1, 2.0), joined(7)]);
+    assert_eq!(host.brain.holding(&of), 0, "the newcomer and the others, until they answer");
+    host.answer(8);
+    host.after(600.0, &[]);
+    host.answer(8);
+    host.after(600.0, &[]);
+    host.answer(8);
+    assert_eq!(host.brain.holding(&of), 4);
+    assert_eq!(host.brain.waiting(), 0.0);
+}
