The one way from the north: a keeper of datastores and sessions, state as data, the file

Change: crates/north. The operator's file is replaced whole. What the proxies were told becomes data of the state module.

--- /dev/null
+++ b/crates/north/src/keeper.rs
@@ -0,0 +1,487 @@
+//! The keeper of the datastores and of who speaks from the north. Everything that a front may do is one function
+//! here, under one lock that is given in the order of asking, and held while the decisions answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperrail_intent::{
+    Access, Commit, Concluded, Datastores, DefaultOp, Doing, Errors, Proposal, Refused, Role, Session, Store,
+};
+use juniperrail_interface::Ms;
+use juniperrail_model::{Data, Draft, Fault, Schema};
+use tokio::sync::{broadcast, mpsc, oneshot, watch, Mutex, Notify};
+use tokio::time::Instant;
+
+use crate::ask::{Ask, Notice, Verdict, NOTICES};
+use crate::file::OperatorFile;
+use crate::state::State;
+
+/// A state no older is told again in place of a new one, however many ask.
+const STATE_AGE: Duration = Duration::from_millis(100);
+
+/// Who asks: a session, and whom it was found to be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    pub session: Session,
+    pub user: String,
+}
+
+/// How a session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Closed,
+    Killed(Session),
+    Dropped,
+    TimedOut,
+}
+
+/// What subscribers are told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// Running changed.
+    Changed {
+        number: u64,
+        by: String,
+        session: Option<Session>,
+        unconfirmed: bool,
+        edits: Vec<(String, &'static str)>,
+    },
+    /// A confirmed commit was confirmed, undone on request, or undone as nobody confirmed it.
+    Confirmed {
+        how: &'static str,
+    },
+    Started {
+        caller: Caller,
+        from: String,
+    },
+    Ended {
+        caller: Caller,
+        how: Ended,
+    },
+    Held {
+        number: u64,
+        after: Ms,
+    },
+}
+
+/// Data that an operation takes: a datastore's, or what came with it.
+pub enum Source {
+    Store(Store),
+    Given(Vec<Draft>),
+}
+
+struct Speaker {
+    user: String,
+    from: String,
+    end: Arc<Notify>,
+    killed: Option<Session>,
+}
+
+struct Inner {
+    stores: Datastores,
+    access: Access,
+    speakers: BTreeMap<Session, Speaker>,
+    last: u32,
+    state: Option<(Instant, Arc<State>)>,
+}
+
+/// What all fronts share.
+#[derive(Clone)]
+pub struct Keeper(Arc<Shared>);
+
+struct Shared {
+    schema: Arc<Schema>,
+    file: Option<OperatorFile>,
+    asks: mpsc::Sender<Ask>,
+    started: Instant,
+    unix: Ms,
+    inner: Mutex<Inner>,
+    /// The access rules in force, for fronts that have to know who may come before there is a session.
+    access: watch::Sender<Access>,
+    told: broadcast::Sender<Arc<Told>>,
+    /// The next roll-back may be due at another time.
+    rescheduled: Notify,
+}
+
+impl Keeper {
+    /// `unix`: the time now, in Unix milliseconds.
+    pub fn new(
+        schema: Arc<Schema>,
+        unix: Ms,
+        startup: Data,
+        file: Option<OperatorFile>,
+        asks: mpsc::Sender<Ask>,
+    ) -> Result<Keeper, Refused> {
+        let stores = Datastores::new(schema.clone(), unix, startup)?;
+        let access = Access::read(&schema, stores.get(Store::Running)).unwrap_or_default();
+        let (speakers, state) = (BTreeMap::new(), None);
+        let inner = Mutex::new(Inner { stores, access: access.clone(), speakers, last: 0, state });
+        let (access, told) = (watch::Sender::new(access), broadcast::Sender::new(NOTICES));
+        let (started, rescheduled) = (Instant::now(), Notify::new());
+        Ok(Keeper(Arc::new(Shared { schema, file, asks, started, unix, inner, access, told, rescheduled })))
+    }
+
+    pub fn schema(&self) -> &Arc<Schema> {
+        &self.0.schema
+    }
+
+    /// Unix time in milliseconds, which never runs back.
+    pub fn now(&self) -> Ms {
+        self.0.unix + self.0.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub fn access(&self) -> watch::Receiver<Access> {
+        self.0.access.subscribe()
+    }
+
+    /// What happens from now on. Who reads too slowly loses the oldest and is told how many.
+    pub fn subscribe(&self) -> broadcast::Receiver<Arc<Told>> {
+        self.0.told.subscribe()
+    }
+
+    fn tell(&self, told: Told) {
+        // Nobody need listen.
+        _ = self.0.told.send(Arc::new(told));
+    }
+
+    /// Does what is due by time, and passes on what the decisions tell. Ends with them.
+    pub async fn run(&self, mut notices: mpsc::Receiver<Notice>) {
+        loop {
+            let due = self.0.inner.lock().await.stores.next_due();
+            let wait = due.map(|due| Duration::from_secs_f64(((due - self.now()) / 1000.0).clamp(0.0, 1e6)));
+            let wait = wait.map(tokio::time::sleep);
+            let timer = async {
+                match wait {
+                    Some(wait) => wait.await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = timer => self.roll_back().await,
+                () = self.0.rescheduled.notified() => {}
+                notice = notices.recv() => match notice {
+                    Some(Notice::Held { number, after }) => self.tell(Told::Held { number, after }),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    /// Takes back the confirmed commit that nobody confirmed in time.
+    async fn roll_back(&self) {
+        let mut inner = self.0.inner.lock().await;
+        let Some(proposal) = inner.stores.due(self.now()) else { return };
+        let number = proposal.number;
+        match self.settle(&mut inner, None, proposal).await {
+            Ok(_) => {
+                tracing::warn!(
+                    "a confirmed commit was not confirmed in time and is taken back as version {number}"
+                );
+                self.tell(Told::Confirmed { how: "timeout" });
+            }
+            Err(why) => {
+                tracing::error!("a confirmed commit cannot be taken back yet: {why}");
+                inner.stores.postpone(self.now(), why.to_string());
+            }
+        }
+    }
+
+    /// Has a proposal judged, and makes it running if the decisions took it over.
+    async fn settle(
+        &self,
+        inner: &mut Inner,
+        session: Option<Session>,
+        proposal: Proposal,
+    ) -> Result<Concluded, Refused> {
+        let (tell, verdict) = oneshot::channel();
+        let (number, by) = (proposal.number, proposal.by.clone());
+        let intent = Box::new(proposal.intent.clone());
+        let ask = Ask::Change { number, by: by.clone(), intent, verdict: tell };
+        self.judged(ask, verdict).await?;
+        let before = inner.stores.get(Store::Running).clone();
+        let concluded = inner.stores.conclude(self.now(), proposal);
+        inner.state = None;
+        let running = inner.stores.get(Store::Running);
+        // Its rules were read when it was checked.
+        inner.access = Access::read(&self.0.schema, running).unwrap_or_default();
+        self.0.access.send_replace(inner.access.clone());
+        self.0.rescheduled.notify_one();
+        tracing::info!("version {number} of the configuration is running, by {by}");
+        let edits = self.edits(&before, running);
+        let unconfirmed = concluded.unconfirmed_until.is_some();
+        self.tell(Told::Changed { number, by, session, unconfirmed, edits });
+        Ok(concluded)
+    }
+
+    fn edits(&self, before: &Data, after: &Data) -> Vec<(String, &'static str)> {
+        let found = juniperrail_model::diff(&self.0.schema, before, after);
+        let edit = |d: juniperrail_model::Difference| {
+            let what = match (d.old.is_some(), d.new.is_some()) {
+                (false, _) => "create",
+                (true, false) => "delete",
+                (true, true) => "replace",
+            };
+            (d.path.spelled(&self.0.schema), what)
+        };
+        found.into_iter().map(edit).collect()
+    }
+
+    async fn judged(&self, ask: Ask, verdict: oneshot::Receiver<Verdict>) -> Result<(), Refused> {
+        let gone = Refused::Unsupported("the decisions are not there any more");
+        self.0.asks.send(ask).await.map_err(|_| gone.clone())?;
+        verdict.await.map_err(|_| gone)?.map_err(Refused::Judged)
+    }
+
+    /// Somebody speaks, as the user that the front found it to be. `None`: that user is not known here.
+    pub async fn opened(&self, user: &str, from: &str) -> Option<(Caller, Arc<Notify>)> {
+        let mut inner = self.0.inner.lock().await;
+        inner.access.role(user)?;
+        inner.last += 1;
+        let (session, end) = (Session(inner.last), Arc::new(Notify::new()));
+        let speaker = Speaker { user: user.into(), from: from.into(), end: end.clone(), killed: None };
+        inner.speakers.insert(session, speaker);
+        drop(inner);
+        let caller = Caller { session, user: user.into() };
+        tracing::info!("session {} of {user} from {from} is open", session.0);
+        self.tell(Told::Started { caller: caller.clone(), from: from.into() });
+        Some((caller, end))
+    }
+
+    /// Its locks go, and its confirmed commit unless that has a name.
+    pub async fn closed(&self, caller: &Caller, how: Ended) {
+        let mut inner = self.0.inner.lock().await;
+        let Some(speaker) = inner.speakers.remove(&caller.session) else { return };
+        inner.stores.ended(self.now(), caller.session);
+        drop(inner);
+        let how = speaker.killed.map_or(how, Ended::Killed);
+        tracing::info!(
+            "session {} of {} from {} is over: {how:?}",
+            caller.session.0,
+            caller.user,
+            speaker.from
+        );
+        self.0.rescheduled.notify_one();
+        self.tell(Told::Ended { caller: caller.clone(), how });
+    }
+
+    /// Ends another's session; only admins may, or the same user.
+    pub async fn kill(&self, caller: &Caller, session: Session) -> Result<(), Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let admin = inner.access.role(&caller.user) == Some(Role::Admin);
+        let Some(speaker) = inner.speakers.get_mut(&session).filter(|_| session != caller.session) else {
+            return Err(Refused::Unsupported("there is no other session of that number"));
+        };
+        if !admin && speaker.user != caller.user {
+            return Err(Refused::Denied(format!("session {}", session.0)));
+        }
+        speaker.killed = Some(caller.session);
+        speaker.end.notify_one();
+        Ok(())
+    }
+
+    /// Every session with its user and where it comes from.
+    pub async fn sessions(&self) -> Vec<(Session, String, String)> {
+        let inner = self.0.inner.lock().await;
+        inner.speakers.iter().map(|(id, s)| (*id, s.user.clone(), s.from.clone())).collect()
+    }
+
+    /// Who holds which lock.
+    pub async fn locks(&self) -> Vec<(Store, Session)> {
+        let inner = self.0.inner.lock().await;
+        let stores = [Store::Running, Store::Candidate, Store::Startup];
+        stores.into_iter().filter_map(|store| Some((store, inner.stores.holder(store)?))).collect()
+    }
+
+    /// A datastore as the user may read it.
+    pub async fn get(&self, caller: &Caller, store: Store) -> Data {
+        let inner = self.0.inner.lock().await;
+        inner.access.readable(&self.0.schema, &caller.user, inner.stores.get(store))
+    }
+
+    /// The state as the user may read it: what the proxies were really told, at most 100 ms ago.
+    pub async fn state(&self, caller: &Caller) -> Result<Data, Refused> {
+        let state = self.snapshot().await?;
+        let data = state.data(&self.0.schema);
+        let inner = self.0.inner.lock().await;
+        Ok(inner.access.readable(&self.0.schema, &caller.user, &data))
+    }
+
+    async fn snapshot(&self) -> Result<Arc<State>, Refused> {
+        // The lock is held meanwhile, so that however many ask, one is asked for.
+        let mut inner = self.0.inner.lock().await;
+        if let Some((_, state)) = inner.state.as_ref().filter(|(at, _)| at.elapsed() < STATE_AGE) {
+            return Ok(state.clone());
+        }
+        let (tell, told) = oneshot::channel();
+        let gone = Refused::Unsupported("the decisions are not there any more");
+        self.0.asks.send(Ask::State(tell)).await.map_err(|_| gone.clone())?;
+        let state = told.await.map_err(|_| gone)?;
+        inner.state = Some((Instant::now(), state.clone()));
+        Ok(state)
+    }
+
+    /// Edits the candidate, or only says whether it could be. What the user may not write is refused whole.
+    pub async fn edit(
+        &self,
+        caller: &Caller,
+        drafts: &[Draft],
+        default: DefaultOp,
+        errors: Errors,
+        check: Check,
+    ) -> Result<Vec<Fault>, Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let (data, faults) = inner.stores.edited(caller.session, drafts, default, errors)?;
+        self.allowed(&inner, caller, inner.stores.get(Store::Candidate), &data)?;
+        if check != Check::Set {
+            inner.stores.validate(&data)?;
+        }
+        if check != Check::TestOnly {
+            inner.stores.put(caller.session, Store::Candidate, data)?;
+        }
+        Ok(faults)
+    }
+
+    fn allowed(&self, inner: &Inner, caller: &Caller, old: &Data, new: &Data) -> Result<(), Refused> {
+        match inner.access.refused(&self.0.schema, &caller.user, old, new) {
+            Some(path) => Err(Refused::Denied(path.spelled(&self.0.schema))),
+            None => Ok(()),
+        }
+    }
+
+    fn taken(&self, inner: &Inner, caller: &Caller, source: Source) -> Result<Data, Refused> {
+        Ok(match source {
+            // Nobody copies what he may not read, and with it writes what he doesn't see.
+            Source::Store(store) => {
+                let data = inner.stores.get(store);
+                let seen = inner.access.readable(&self.0.schema, &caller.user, data);
+                if seen != *data {
+                    return Err(Refused::Denied("what this user may not read of the source".into()));
+                }
+                seen
+            }
+            Source::Given(drafts) => {
+                let mut data =
+                    Data::from_drafts(&self.0.schema, &drafts).map_err(|f| Refused::Faults(vec![f]))?;
+                data.tidy(&self.0.schema);
+                data
+            }
+        })
+    }
+
+    /// Puts whole data into the candidate or startup; startup goes to the operator's file first.
+    pub async fn copy(&self, caller: &Caller, source: Source, target: Store) -> Result<(), Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let data = self.taken(&inner, caller, source)?;
+        self.put(&mut inner, caller, target, data)
+    }
+
+    fn put(&self, inner: &mut Inner, caller: &Caller, target: Store, data: Data) -> Result<(), Refused> {
+        self.allowed(inner, caller, inner.stores.get(target), &data)?;
+        if target == Store::Startup {
+            inner.stores.validate(&data)?;
+            if let Some(holder) =
+                inner.stores.holder(Store::Startup).filter(|holder| *holder != caller.session)
+            {
+                return Err(Refused::InUse(holder));
+            }
+            let file = self
+                .0
+                .file
+                .as_ref()
+                .ok_or(Refused::Unsupported("there is no operator's file to hold startup"))?;
+            file.write(&self.0.schema, &data).map_err(|why| {
+                tracing::error!("{} cannot be written: {why}", file.path().display());
+                Refused::Unsupported("the operator's file cannot be written; the log says why")
+            })?;
+        }
+        inner.stores.put(caller.session, target, data)
+    }
+
+    /// Empties startup.
+    pub async fn delete(&self, caller: &Caller, target: Store) -> Result<(), Refused> {
+        if target != Store::Startup {
+            return Err(Refused::Unsupported("only startup can be deleted"));
+        }
+        let mut inner = self.0.inner.lock().await;
+        self.put(&mut inner, caller, target, Data::default())
+    }
+
+    pub async fn lock(&self, caller: &Caller, store: Store) -> Result<(), Refused> {
+        self.0.inner.lock().await.stores.lock(store, caller.session)
+    }
+
+    pub async fn unlock(&self, caller: &Caller, store: Store) -> Result<(), Refused> {
+        self.0.inner.lock().await.stores.unlock(store, caller.session)
+    }
+
+    pub async fn discard(&self, caller: &Caller) -> Result<(), Refused> {
+        let mut inner = self.0.inner.lock().await;
+        if inner.access.role(&caller.user) == Some(Role::Reader) {
+            return Err(Refused::Denied("the candidate".into()));
+        }
+        inner.stores.discard(caller.session)
+    }
+
+    /// Whether it fits the model and the world would bear it now.
+    pub async fn validate(&self, caller: &Caller, source: Source) -> Result<(), Refused> {
+        let inner = self.0.inner.lock().await;
+        let data = self.taken(&inner, caller, source)?;
+        inner.stores.validate(&data)?;
+        let (tell, verdict) = oneshot::channel();
+        let intent = Box::new(juniperrail_intent::Intent::read(&self.0.schema, &data));
+        self.judged(Ask::Judge { intent, verdict: tell }, verdict).await
+    }
+
+    /// Makes the candidate running, whole, or says why not.
+    pub async fn commit(&self, caller: &Caller, commit: Commit) -> Result<Concluded, Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let (confirmed, waited) = (commit.confirmed, inner.stores.waits().is_some());
+        if inner.access.role(&caller.user) == Some(Role::Reader) {
+            return Err(Refused::Denied("running".into()));
+        }
+        let proposal = inner.stores.propose(caller.session, &caller.user, commit)?;
+        // Edits of others may stand in the candidate: who commits answers for all of it.
+        self.allowed(&inner, caller, inner.stores.get(Store::Running), &proposal.data)?;
+        let concluded = self.settle(&mut inner, Some(caller.session), proposal).await?;
+        if waited && !confirmed {
+            self.tell(Told::Confirmed { how: "complete" });
+        }
+        Ok(concluded)
+    }
+
+    /// Takes back a confirmed commit that waits.
+    pub async fn cancel(&self, caller: &Caller, persist_id: Option<&str>) -> Result<(), Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let proposal = inner.stores.cancel(caller.session, persist_id)?;
+        self.settle(&mut inner, Some(caller.session), proposal).await?;
+        self.tell(Told::Confirmed { how: "cancel" });
+        Ok(())
+    }
+
+    /// Puts an older version of running into the candidate.
+    pub async fn version(&self, caller: &Caller, number: u64) -> Result<(), Refused> {
+        let mut inner = self.0.inner.lock().await;
+        let data = inner.stores.at_version(number)?.clone();
+        self.put(&mut inner, caller, Store::Candidate, data)
+    }
+
+    /// The versions of running that can be gone back to: number, when, by whom.
+    pub async fn versions(&self) -> Vec<(u64, Ms, String)> {
+        let inner = self.0.inner.lock().await;
+        inner.stores.versions().map(|version| (version.number, version.at, version.by.clone())).collect()
+    }
+
+    /// Whether the user may do something with all there is, as getting schemas or being told notifications.
+    pub async fn may_read(&self, caller: &Caller, path: &juniperrail_model::Path) -> bool {
+        self.0.inner.lock().await.access.may(&caller.user, Doing::Read, path)
+    }
+}
+
+/// What an edit checks, RFC 6241's `test-option`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    TestThenSet,
+    Set,
+    TestOnly,
+}
--- /dev/null
+++ b/crates/north/src/lib.rs
@@ -0,0 +1,13 @@
+//! The one way from the north into a manager, whatever protocol speaks there. A [`Keeper`] owns the datastores;
+//! what changes running is asked of the task that owns the decisions ([`Ask`]), over one bounded queue, and that
+//! task never waits for anybody here. Fronts hold a [`Keeper`] and decide nothing.
+
+mod ask;
+mod file;
+mod keeper;
+mod state;
+
+pub use ask::{Ask, Notice, Verdict, ASKS, NOTICES};
+pub use file::OperatorFile;
+pub use keeper::{Caller, Check, Ended, Keeper, Source, Told};
+pub use state::{ChangeState, OperationState, ProxyState, State, TableState, WorkerState};
