--- a/crates/intent/src/compose.rs
+++ b/crates/intent/src/compose.rs
@@ -10,9 +10,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use juniperrail_interface::{Listed, Phase};
+use juniperrail_interface::{Listed, Phase, WorkerId};
 
-use crate::want::{Intent, Wanted, Wish};
+use crate::want::{Intent, Place, Wanted, Wish};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -104,12 +104,22 @@
         gone
     }
 
-    /// Nothing of discovery's word is needed any more but that it said gone, if that.
-    pub fn forget(&mut self, name: &str) {
-        let gone = self.told.remove(name).is_some_and(|told| told.listed.phase == Phase::Gone);
+    /// The decisions forgot it. Where discovery said gone nothing of its word is needed any more but that; else,
+    /// as the operator alone took it out, its word stays. Whether it does.
+    pub fn forget(&mut self, name: &str) -> bool {
+        if self.told.get(name).is_some_and(|told| told.listed.phase != Phase::Gone) {
+            return true;
+        }
+        let gone = self.told.remove(name).is_some();
         if let Some(wished) = self.wished.get_mut(name) {
             wished.gone |= gone;
         }
+        false
+    }
+
+    /// A worker that was forgotten goes by another id from now on.
+    pub fn renumber(&mut self, name: &str, worker: WorkerId) {
+        self.told.get_mut(name).into_iter().for_each(|told| told.listed.worker = worker);
     }
 
     /// The operator's word on all workers takes the place of the one before. What is worded alike is no later
@@ -139,11 +149,15 @@
         changed
     }
 
-    /// Every worker that some source places somewhere. `placed` gives ids to what an operator placed.
+    /// Every worker that some source places somewhere.
     pub fn names(&self) -> impl Iterator<Item = &str> {
-        let placed =
-            self.wished.iter().filter(|(name, w)| w.wish.place.is_some() && !self.told.contains_key(*name));
-        self.told.keys().chain(placed.map(|(name, _)| name)).map(String::as_str)
+        self.told.keys().map(String::as_str).chain(self.placed().map(|(name, _)| name))
+    }
+
+    /// Workers that the operator alone places, and where.
+    pub fn placed(&self) -> impl Iterator<Item = (&str, &Place)> {
+        let here = self.wished.iter().filter(|(name, _)| !self.told.contains_key(*name));
+        here.filter_map(|(name, wished)| Some((name.as_str(), wished.wish.place.as_ref()?)))
     }
 
     /// What all sources together say; `None` where none says where the worker is. `listed` makes the entry of a
@@ -220,7 +234,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use juniperrail_interface::{CellId, MachineId, WorkerId, ZoneId};
+    use juniperrail_interface::{CellId, MachineId, ZoneId};
 
     fn listed(phase: Phase, weight: f64, booted: Option<f64>) -> Listed {
         let (zone, machine, cell) = (ZoneId(0), MachineId(0), CellId(0));
@@ -331,8 +345,7 @@
 
     #[test]
     fn a_worker_that_only_the_operator_places_is_there_until_discovery_says_gone() {
-        let place =
-            crate::want::Place { zone: "a".into(), machine: String::new(), cell: None, address: None };
+        let place = Place { zone: "a".into(), machine: String::new(), cell: None, address: None };
         let placed = intent(Wish { place: Some(place), ..Wish::default() });
         let mut town = Town(Composer::default());
         assert!(town.0.composed("s-1", |_| None).is_none());
--- a/crates/intent/src/judge.rs
+++ b/crates/intent/src/judge.rs
@@ -161,13 +161,19 @@
     after: &BTreeMap<String, Composed>,
     intent: &Intent,
 ) -> Vec<Refusal> {
-    let mut refusals = worded(world, intent);
-    refusals.extend(figures(world, intent));
+    let mut refusals = judge_alone(world, intent);
     refusals.extend(bare(world, before, after, intent));
     refusals.extend(lines(world, before, after, intent));
     refusals
 }
 
+/// Why an intent may not hold in any world of these settings, whoever the workers are.
+pub fn judge_alone(world: &World<'_>, intent: &Intent) -> Vec<Refusal> {
+    let mut refusals = worded(world, intent);
+    refusals.extend(figures(world, intent));
+    refusals
+}
+
 /// What is wrong by itself, in whatever world.
 fn worded(world: &World<'_>, intent: &Intent) -> Vec<Refusal> {
     let mut refusals = Vec::new();
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -14,7 +14,7 @@
 pub use access::{Access, Doing, Role};
 pub use compose::{Composed, Composer, Source};
 pub use edit::{edit, DefaultOp, Errors};
-pub use judge::{judge, Refusal, World};
+pub use judge::{judge, judge_alone, Refusal, World};
 pub use progress::{Change, Progress, Stage};
 pub use stores::{Commit, Concluded, Datastores, Proposal, Refused, Session, Store, Version};
 pub use want::{Intent, Place, Wanted, Wish};
--- a/crates/intent/src/want.rs
+++ b/crates/intent/src/want.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use juniperrail_interface::Ms;
+use juniperrail_interface::{Figures, Ms, Start};
 use juniperrail_model::{Data, Schema, View};
 
 /// The state that the operator wants of a worker.
@@ -80,6 +80,24 @@
         }
     }
 
+    /// The figures that hold with this intent, over the settings' own. `operations`: their names, in order.
+    pub fn figures(&self, settings: &Start, operations: &[String]) -> Figures {
+        let told = |name: &String| self.operations.get(name).copied().unwrap_or_default();
+        let all = settings.operations.iter().zip(operations);
+        Figures {
+            drain_grace: self.drain_grace.unwrap_or(settings.drain_grace),
+            warm_up: self.warm_up.unwrap_or(settings.warm_up),
+            cold_share: self.cold_share.unwrap_or(settings.cold_share),
+            overload_factor: self.overload_factor.unwrap_or(settings.overload_factor),
+            operations: all
+                .map(|(op, name)| {
+                    let (objective, value) = told(name);
+                    (objective.unwrap_or(op.latency_objective), value.unwrap_or(op.billed_value))
+                })
+                .collect(),
+        }
+    }
+
     /// The workers of which two intents want something else.
     pub fn differing<'a>(&'a self, other: &'a Intent) -> impl Iterator<Item = &'a str> {
         let gone = self.workers.keys().filter(|name| !other.workers.contains_key(*name));
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -1,144 +1,112 @@
 //! The one task that owns the decisions: it takes what has come in, at most one turn a tick, wakes the module
 //! when it asked for that, and hands out what it orders.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use juniperrail::Brain;
+use juniperrail_intent::{judge, Change, Intent, Progress, World};
 use juniperrail_interface::*;
+use juniperrail_north::{Ask, ChangeState, Notice, State, Verdict, WorkerState};
 use juniperrail_start::Names;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep_until, Instant};
 use tower::ServiceExt;
 
-use crate::discovery::Listing;
+use crate::clock::Clock;
 use crate::launch::Launch;
+use crate::news::{Hello, News, StreamId};
 use crate::plane::{Parcel, Plane};
+use crate::presence::{Lapse, Presence, Stream};
 use crate::probes::{Found, Probes};
+use crate::roster::Roster;
 use crate::tally::Tally;
 use crate::text::Report;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StreamId(pub u64);
-
-/// What comes in, in the order of each connection.
-pub enum News {
-    Listing(Listing),
-    Joined {
-        stream: StreamId,
-        hello: Hello,
-        orders: mpsc::Sender<Bytes>,
-    },
-    /// A connection of whatever kind is over, and why if not by itself.
-    Ended(StreamId, Option<String>),
-    /// From a proxy's own stream, or through a collector; or why a message is passed over.
-    Said(Option<(StreamId, ProxyId)>, Result<Report, String>),
-    Probed(WorkerId, Found),
-    /// Somebody who never joined, and why.
-    TurnedAway(String),
-}
-
-pub struct Hello {
-    pub proxy: u16,
-    pub zone: String,
-    pub inv_per_second: f64,
-    pub fresh: bool,
-}
-
-/// Unix time at the start and monotonic time since, so that it compares with others' and never runs back.
-#[derive(Clone, Copy)]
-struct Clock {
-    unix: Ms,
-    started: Instant,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
-        Clock { unix, started: Instant::now() }
-    }
+/// Only the wakes and silences due sooner matter.
+const LONGEST_SLEEP: Ms = 3_600_000.0;
 
-    fn now(&self) -> Ms {
-        self.unix + self.started.elapsed().as_secs_f64() * 1000.0
-    }
+/// How far the open changes have come is looked at no more often.
+const LOOK_EVERY: Ms = 5.0;
 
-    fn instant(&self, at: Ms) -> Instant {
-        self.started + Duration::from_secs_f64(((at - self.unix) / 1000.0).max(0.0))
-    }
+/// The ways to and from the north, where there is one.
+pub struct North {
+    pub asks: mpsc::Receiver<Ask>,
+    pub notices: mpsc::Sender<Notice>,
 }
 
-struct Stream {
-    id: StreamId,
-    orders: mpsc::Sender<Bytes>,
-    zone: ZoneId,
-    inv_per_second: f64,
-    /// Marks sent that it has not answered, oldest first, and when something last came from it.
-    owed: VecDeque<(MarkId, Ms)>,
-    spoke: Ms,
-    /// Since when it is told to the decisions as left, though its connection is open.
-    silent: Option<Ms>,
-}
-
-impl Stream {
-    /// When it is told as left, or given up as it still says nothing.
-    fn silent_at(&self, after: Ms) -> Option<Ms> {
-        let since = self.silent.or_else(|| self.owed.front().map(|(_, sent)| sent.max(self.spoke)))?;
-        Some(since + after)
-    }
-}
-
-/// Only the wakes and silences due sooner matter.
-const LONGEST_SLEEP: Ms = 3_600_000.0;
-
 pub struct Decider {
+    name: String,
     brain: Brain,
+    /// As the settings gave it; what operators changed is told to the module beside it.
     start: Start,
+    operations: Vec<String>,
+    intent: Intent,
     names: Names,
     rng: fastrand::Rng,
     clock: Clock,
     tick: Duration,
-    silent_after: Ms,
     plane: Plane,
-    streams: BTreeMap<ProxyId, Stream>,
-    listed: BTreeMap<WorkerId, Listed>,
-    addresses: BTreeMap<WorkerId, SocketAddr>,
+    presence: Presence,
+    roster: Roster,
+    progress: Progress,
+    looked: Ms,
     wakes: Vec<(Ms, String)>,
     heard: Vec<Event>,
     tally: Tally,
     probes: Probes,
     news: mpsc::WeakSender<News>,
     afresh: Rc<Notify>,
+    north: Option<North>,
 }
 
 impl Decider {
-    /// Decides on the list as last held before anything is heard.
-    pub fn new(launch: Launch, probes: Probes, news: &mpsc::Sender<News>, afresh: Rc<Notify>) -> Self {
+    /// Decides on the list as last held, and on what the operator's file wants, before anything is heard.
+    pub fn new(
+        launch: Launch,
+        probes: Probes,
+        news: &mpsc::Sender<News>,
+        afresh: Rc<Notify>,
+        north: Option<North>,
+    ) -> Self {
         let (clock, start, names) = (Clock::start(), launch.fixed.start, launch.names);
+        let operation = |op| names.ops.name(op as u32).to_string();
         let mut decider = Decider {
+            name: launch.fixed.name,
             brain: Brain::new(clock.now(), launch.seed, start.clone()),
+            operations: (0..start.operations.len()).map(operation).collect(),
             start,
+            intent: Intent::default(),
             names,
             rng: fastrand::Rng::with_seed(launch.seed),
             clock,
             tick: launch.fixed.tick,
-            silent_after: launch.silent_after,
             plane: Plane::default(),
-            streams: BTreeMap::new(),
-            listed: BTreeMap::new(),
-            addresses: BTreeMap::new(),
+            presence: Presence::new(launch.silent_after),
+            roster: Roster::default(),
+            progress: Progress::default(),
+            looked: 0.0,
             wakes: Vec::new(),
             heard: Vec::new(),
             tally: Tally::default(),
             probes,
             news: news.downgrade(),
             afresh,
+            north,
         };
         let known = launch.known.unwrap_or_default();
-        decider.list(&known, ListKind::Remembered);
+        let event = decider.roster.hear(&known, ListKind::Remembered, &mut decider.names);
+        decider.list(event);
+        let wanted = launch.operator.map(|operator| operator.intent).unwrap_or_default();
+        // The list may be old: what it would not bear is said, and the decisions bear it as they bear any loss.
+        for refusal in decider.judge(&wanted) {
+            tracing::warn!("the operator's file: {refusal}");
+        }
+        decider.take_over(wanted);
         decider.turn();
         decider
     }
@@ -146,16 +114,18 @@
     pub async fn run(mut self, mut news: mpsc::Receiver<News>) {
         let mut last = Instant::now();
         loop {
-            let wakes = self.wakes.iter().map(|(at, _)| *at);
-            let silences = self.streams.values().filter_map(|stream| stream.silent_at(self.silent_after));
-            let wake = wakes.chain(silences).fold(self.clock.now() + LONGEST_SLEEP, f64::min);
-            let first = tokio::select! {
-                first = news.recv() => match first {
-                    Some(first) => Some(first),
+            let wakes = self.wakes.iter().map(|(at, _)| *at).chain(self.presence.next());
+            let look = self.progress.open().next().map(|_| self.looked + LOOK_EVERY);
+            let wake = wakes.chain(look).fold(self.clock.now() + LONGEST_SLEEP, f64::min);
+            let (mut first, mut asked) = (None, None);
+            tokio::select! {
+                news = news.recv() => match news {
+                    Some(news) => first = Some(news),
                     None => return,
                 },
-                () = sleep_until(self.clock.instant(wake)) => None,
-            };
+                ask = next_ask(&mut self.north) => asked = Some(ask),
+                () = sleep_until(self.clock.instant(wake)) => {}
+            }
             sleep_until(last + self.tick).await;
             first.into_iter().for_each(|first| self.hear(first));
             while let Ok(next) = news.try_recv() {
@@ -166,9 +136,11 @@
             let due = self.wakes.extract_if(.., |(at, _)| *at <= now);
             self.heard.extend(due.map(|(_, handle)| Event::Woken { handle }));
             last = Instant::now();
+            asked.into_iter().for_each(|ask| self.answer(ask));
             if !self.heard.is_empty() {
                 self.turn();
             }
+            self.look(now);
         }
     }
 
@@ -176,18 +148,19 @@
         match news {
             News::Listing(listing) => {
                 let kind = if listing.full { ListKind::Full } else { ListKind::Changes };
-                self.list(&listing, kind);
+                let event = self.roster.hear(&listing, kind, &mut self.names);
+                self.list(event);
             }
             News::Joined { stream, hello, orders } => self.join(stream, hello, orders),
             News::Ended(stream, why) => {
                 why.into_iter().for_each(|why| self.tally.broke.add(why));
-                let left = self.streams.iter().find(|(_, known)| known.id == stream).map(|(id, _)| *id);
+                let left = self.presence.proxy_of(stream);
                 left.into_iter().for_each(|proxy| self.leave(proxy));
             }
             News::Said(from, report) => match self.report(from, report) {
                 Ok(event) => self.heard.push(event),
                 Err(why) => {
-                    log::debug!("passed over: {why}");
+                    tracing::debug!("passed over: {why}");
                     self.tally.odd.add(why);
                 }
             },
@@ -198,27 +171,132 @@
         }
     }
 
-    fn list(&mut self, listing: &Listing, kind: ListKind) {
-        let (entries, all) = listing.entries(&mut self.names);
-        // Guards against an entry that can't be read: a whole list without it would tell that worker gone.
-        let kind = if all { kind } else { ListKind::Changes };
-        log::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
-        if kind != ListKind::Changes {
-            self.listed.clear();
-            self.addresses.clear();
-        }
-        for (listed, address) in &entries {
-            self.plane.listed(listed);
-            self.listed.insert(listed.worker, listed.clone());
-            self.addresses.remove(&listed.worker);
-            if listed.phase == Phase::Gone {
-                self.listed.remove(&listed.worker);
-            } else {
-                self.addresses.extend(address.map(|address| (listed.worker, address)));
+    fn list(&mut self, event: Event) {
+        if let Event::List { workers, .. } = &event {
+            workers.iter().for_each(|listed| self.plane.listed(listed));
+        }
+        self.heard.push(event);
+    }
+
+    /// What the north asks, answered in this turn.
+    fn answer(&mut self, ask: Ask) {
+        // Whoever asked may be gone.
+        match ask {
+            Ask::State(tell) => _ = tell.send(Arc::new(self.state())),
+            Ask::Judge { intent, verdict } => _ = verdict.send(self.judged(&intent)),
+            Ask::Change { number, by, intent, verdict } => {
+                let judged = self.judged(&intent);
+                match &judged {
+                    Ok(()) => {
+                        let workers: BTreeSet<String> =
+                            self.intent.differing(&intent).map(str::to_string).collect();
+                        tracing::info!("change {number} by {by} is taken over: {} workers", workers.len());
+                        self.progress.taken(self.clock.now(), number, &by, workers);
+                        self.take_over(*intent);
+                    }
+                    Err(why) => {
+                        let why = why.first().map(ToString::to_string).unwrap_or_default();
+                        tracing::info!("a change by {by} is refused: {why}");
+                    }
+                }
+                _ = verdict.send(judged);
+            }
+        }
+    }
+
+    fn judged(&self, intent: &Intent) -> Verdict {
+        let refusals = self.judge(intent);
+        if refusals.is_empty() {
+            Ok(())
+        } else {
+            Err(refusals)
+        }
+    }
+
+    fn judge(&self, intent: &Intent) -> Vec<juniperrail_intent::Refusal> {
+        let (names, plane) = (&self.names, &self.plane);
+        let world = World {
+            now: self.clock.now(),
+            settings: &self.start,
+            operations: &self.operations,
+            zone_name: &|zone| names.zones.name(zone.0.into()).to_string(),
+            zone_known: &|zone| self.start.zones.iter().any(|known| names.zones.name(known.0.into()) == zone),
+            joined: self.presence.here().count(),
+            readers: &|worker| plane.readers(worker),
+        };
+        judge(&world, &self.roster.all(None, names), &self.roster.all(Some(intent), names), intent)
+    }
+
+    /// An intent that was judged, or that the file had at the start, holds from this turn on.
+    fn take_over(&mut self, intent: Intent) {
+        let figures = intent.figures(&self.start, &self.operations);
+        if figures != self.intent.figures(&self.start, &self.operations) {
+            self.heard.push(Event::Figures(figures));
+        }
+        let event = self.roster.wish(&intent, &mut self.names);
+        event.into_iter().for_each(|event| self.list(event));
+        self.intent = intent;
+    }
+
+    /// How far the changes that are under way have come.
+    fn look(&mut self, now: Ms) {
+        let due = now >= self.looked + LOOK_EVERY && self.progress.open().next().is_some();
+        if !due {
+            return;
+        }
+        self.looked = now;
+        let joined = self.presence.here().count();
+        let open: Vec<(u64, BTreeSet<WorkerId>)> =
+            self.progress.open().map(|c| (c.number, self.ids(c))).collect();
+        for (number, workers) in open {
+            let holding = self.brain.holding(&workers);
+            if self.progress.found(now, number, holding, joined) {
+                let after =
+                    self.progress.all().find(|change| change.number == number).map_or(0.0, |c| now - c.at);
+                tracing::info!("change {number} is held by all {joined} proxies after {after:.0} ms");
+                let north = self.north.as_ref();
+                north
+                    .into_iter()
+                    .for_each(|north| _ = north.notices.try_send(Notice::Held { number, after }));
             }
         }
-        let workers = entries.into_iter().map(|(listed, _)| listed).collect();
-        self.heard.push(Event::List { kind, version: listing.version, workers });
+    }
+
+    fn ids(&self, change: &Change) -> BTreeSet<WorkerId> {
+        change.workers.iter().filter_map(|name| self.names.workers.known(name).map(WorkerId)).collect()
+    }
+
+    fn state(&self) -> State {
+        let now = self.clock.now();
+        let warm_up = self.intent.figures(&self.start, &self.operations).warm_up;
+        let worker = |(name, composed): (String, juniperrail_intent::Composed)| {
+            let spelled = |name: Option<&str>| name.unwrap_or_default().to_string();
+            WorkerState {
+                name,
+                zone: spelled(self.names.zones.get(composed.listed.zone.0.into())),
+                machine: spelled(self.names.machines.get(composed.listed.machine.0.into())),
+                warm: composed.listed.booted.is_none_or(|booted| now >= booted + warm_up),
+                composed,
+            }
+        };
+        let change = |change: &Change| ChangeState {
+            number: change.number,
+            by: change.by.clone(),
+            age: now - change.at,
+            stage: change.stage,
+            held_by: change.held_by,
+            joined: change.joined,
+        };
+        State {
+            manager: self.name.clone(),
+            list_version: self.roster.version,
+            workers: self.roster.all(None, &self.names).into_iter().map(worker).collect(),
+            tables: self.plane.table_states(&self.names),
+            proxies: self.plane.proxy_states(&self.names, &self.presence, now),
+            lines_waiting: self.brain.waiting(),
+            lines_waiting_most: self.start.lines_waiting_most,
+            changes: self.progress.all().map(change).collect(),
+        }
     }
 
     fn join(&mut self, id: StreamId, hello: Hello, orders: mpsc::Sender<Bytes>) {
@@ -226,63 +304,55 @@
         let (proxy, zone) = (ProxyId(proxy), self.names.zone(&zone));
         // A new stream may come before the old one is seen to end; what that still brings changes nothing.
         self.leave(proxy);
-        let (owed, spoke) = (VecDeque::new(), self.clock.now());
-        let stream = Stream { id, orders, zone, inv_per_second, owed, spoke, silent: None };
-        self.streams.insert(proxy, stream);
+        let stream = Stream::new(id, orders, zone, inv_per_second, self.clock.now());
+        self.presence.streams.insert(proxy, stream);
         self.joined(proxy, fresh);
     }
 
     fn joined(&mut self, proxy: ProxyId, fresh: bool) {
-        let Stream { zone, inv_per_second, .. } = self.streams[&proxy];
-        log::debug!("proxy {} joined: {inv_per_second} a second, fresh {fresh}", proxy.0);
+        let Stream { zone, inv_per_second, .. } = self.presence.streams[&proxy];
+        tracing::debug!("proxy {} joined: {inv_per_second} a second, fresh {fresh}", proxy.0);
         self.plane.joined(proxy, fresh);
         self.heard.push(Event::Joined { proxy, fresh, inv_per_second, zone });
     }
 
     fn leave(&mut self, proxy: ProxyId) {
-        if self.streams.remove(&proxy).is_some_and(|stream| stream.silent.is_none()) {
+        if self.presence.leave(proxy) {
             self.left(proxy);
         }
     }
 
     fn left(&mut self, proxy: ProxyId) {
-        log::debug!("proxy {} left", proxy.0);
+        tracing::debug!("proxy {} left", proxy.0);
         self.plane.left(proxy);
         self.heard.push(Event::Left { proxy });
     }
 
-    /// Guards against streams that fall silent without a reset: who owes an answer and says nothing has left,
-    /// until it speaks again. Its connection stays for as long again, since it may be sound, but no longer: a
-    /// machine that vanished would keep its descriptor for good.
     fn silences(&mut self, now: Ms) {
-        let due = |stream: &Stream| stream.silent_at(self.silent_after).is_some_and(|at| now >= at);
-        let due: Vec<ProxyId> = self.streams.iter().filter(|(_, s)| due(s)).map(|(id, _)| *id).collect();
-        for proxy in due {
-            let stream = self.streams.get_mut(&proxy).expect("a known stream");
-            if stream.silent.is_some() {
-                log::debug!("proxy {} stays silent: its stream is given up", proxy.0);
-                self.streams.remove(&proxy);
-                continue;
+        for lapse in self.presence.lapses(now) {
+            match lapse {
+                Lapse::Silent { proxy, since, owed } => {
+                    let last = format!("proxy {}, no word for {since:.0} ms, {owed} answers owed", proxy.0);
+                    self.tally.silent.add(last);
+                    self.left(proxy);
+                }
+                Lapse::GivenUp(proxy) => {
+                    tracing::debug!("proxy {} stays silent: its stream is given up", proxy.0);
+                }
             }
-            let (since, owed) = (now - stream.spoke, stream.owed.len());
-            let last = format!("proxy {}, no word for {since:.0} ms, {owed} answers owed", proxy.0);
-            self.tally.silent.add(last);
-            stream.silent = Some(now);
-            stream.owed.clear();
-            self.left(proxy);
         }
     }
 
     /// Something came over a stream. False if another stream took its place.
     fn spoke(&mut self, from: StreamId, proxy: ProxyId) -> bool {
-        let now = self.clock.now();
-        let Some(stream) = self.streams.get_mut(&proxy).filter(|stream| stream.id == from) else {
-            return false;
-        };
-        let (since, owes) = (now - stream.spoke, stream.owed.front().map_or(0.0, |(_, sent)| now - sent));
-        log::trace!("proxy {} speaks after {since:.0} ms, owing for {owes:.0} ms", proxy.0);
-        stream.spoke = now;
-        if stream.silent.take().is_some() {
+        let Some(word) = self.presence.spoke(self.clock.now(), from, proxy) else { return false };
+        tracing::trace!(
+            "proxy {} speaks after {:.0} ms, owing for {:.0} ms",
+            proxy.0,
+            word.after,
+            word.owing
+        );
+        if word.again {
             self.tally.spoke += 1;
             self.joined(proxy, false);
         }
@@ -320,11 +390,7 @@
                 if from.is_none() || foreign(proxy) {
                     return Err(format!("an answer of proxy {} on another's stream", proxy.0));
                 }
-                let owed = &mut self.streams.get_mut(&proxy).expect("a known stream").owed;
-                // Guards against an answer to what this stream never brought: the module counts marks in rounds.
-                let place = owed.iter().position(|(sent, _)| *sent == mark);
-                let place = place.ok_or_else(|| format!("proxy {} owes no answer to {}", proxy.0, mark.0))?;
-                owed.drain(..=place);
+                self.presence.answered(proxy, mark)?;
                 Ok(Event::Answered { mark, took, proxy })
             }
         }
@@ -336,10 +402,11 @@
 
     fn turn_by(&mut self, decide: impl FnOnce(&mut Brain, Ms, &[Event]) -> Vec<Order>) {
         let (now, heard) = (self.clock.now(), std::mem::take(&mut self.heard));
+        let _turn = tracing::debug_span!("turn", heard = heard.len()).entered();
         self.tally.joined += heard.iter().filter(|event| matches!(event, Event::Joined { .. })).count();
         self.tally.left += heard.iter().filter(|event| matches!(event, Event::Left { .. })).count();
         if now >= self.tally.logged + self.start.report_period {
-            self.tally.log(now, self.streams.values().filter(|stream| stream.silent.is_none()).count());
+            self.tally.log(now, self.presence.here().count());
         }
         let turn = AssertUnwindSafe(|| {
             let orders = decide(&mut self.brain, now, &heard);
@@ -353,13 +420,17 @@
 
     /// Guards against a panic in the module: it starts anew on the list held and the streams open.
     fn restart(&mut self, now: Ms) {
-        log::error!("the decisions failed and start anew with {} proxies", self.streams.len());
+        tracing::error!("the decisions failed and start anew with {} proxies", self.presence.streams.len());
         self.brain = Brain::new(now, self.rng.u64(..), self.start.clone());
         self.plane.restart();
         self.wakes.clear();
-        let workers = self.listed.values().cloned().collect();
-        self.heard.push(Event::List { kind: ListKind::Remembered, version: 0, workers });
-        for (proxy, stream) in self.streams.iter_mut().filter(|(_, stream)| stream.silent.is_none()) {
+        self.heard.push(self.roster.remembered());
+        let figures = self.intent.figures(&self.start, &self.operations);
+        if figures != Intent::default().figures(&self.start, &self.operations) {
+            self.heard.push(Event::Figures(figures));
+        }
+        let here = self.presence.streams.iter_mut().filter(|(_, stream)| stream.silent.is_none());
+        for (proxy, stream) in here {
             let Stream { zone, inv_per_second, .. } = *stream;
             stream.owed.clear();
             self.heard.push(Event::Joined { proxy: *proxy, fresh: false, inv_per_second, zone });
@@ -368,28 +439,26 @@
     }
 
     fn hand_out(&mut self, now: Ms, parcels: Vec<Parcel>, orders: Vec<Order>) {
-        for parcel in parcels {
-            let stream = self.streams.get_mut(&parcel.proxy).expect("a joined proxy has a stream");
-            stream.owed.extend(parcel.mark.map(|mark| (mark, now)));
-            log::trace!("to {}: {} lines, {:?}", parcel.proxy.0, parcel.lines, parcel.bytes);
-            if let Err(mpsc::error::TrySendError::Full(_)) = stream.orders.try_send(parcel.bytes) {
-                log::warn!("proxy {} does not read: its stream is given up", parcel.proxy.0);
-                self.leave(parcel.proxy);
+        for Parcel { proxy, bytes, lines, mark } in parcels {
+            let stream = self.presence.streams.get_mut(&proxy).expect("a joined proxy has a stream");
+            tracing::trace!("to {}: {lines} lines, {bytes:?}", proxy.0);
+            if !stream.send(now, self.start.messages_over, mark, bytes) {
+                tracing::warn!("proxy {} does not read: its stream is given up", proxy.0);
+                self.leave(proxy);
             }
         }
         for order in orders {
             match order {
                 Order::Wake { after, handle } => self.wakes.push((now + after, handle)),
                 Order::Log { about: Some(id), text } => {
-                    log::info!("{} {text}", self.names.workers.name(id.0))
+                    tracing::info!("{} {text}", self.names.workers.name(id.0));
                 }
-                Order::Log { about: None, text } => log::info!("{text}"),
+                Order::Log { about: None, text } => tracing::info!("{text}"),
                 Order::Probe { worker } => self.probe(worker),
                 Order::FetchList => self.afresh.notify_one(),
                 Order::Forget { worker } => {
-                    log::debug!("{} is forgotten", self.names.workers.name(worker.0));
                     self.plane.forget(worker);
-                    self.names.workers.forget(worker.0);
+                    self.roster.forget(worker, &mut self.names);
                 }
                 // The watch follows the list from the start on; there is no way to other managers.
                 Order::FollowList(_) | Order::Tell { .. } => {}
@@ -400,7 +469,7 @@
     }
 
     fn probe(&mut self, worker: WorkerId) {
-        let Some(address) = self.addresses.get(&worker).copied() else {
+        let Some(address) = self.roster.address(worker) else {
             let found = Found { ending: Ending::Unreachable, took: 0.0, load: Load::default() };
             return self.hear(News::Probed(worker, found));
         };
@@ -414,9 +483,23 @@
     }
 }
 
+/// The north's next ask; never where there is no north, or none any more.
+async fn next_ask(north: &mut Option<North>) -> Ask {
+    let Some(known) = north else { return std::future::pending().await };
+    match known.asks.recv().await {
+        Some(ask) => ask,
+        None => {
+            *north = None;
+            std::future::pending().await
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use juniperrail_intent::{Intent, Wanted, Wish};
+    use tokio::sync::oneshot;
 
     const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
         "known":{"generation":4,"reset":true,"instances":[
@@ -432,7 +515,7 @@
             let launch = Launch::new(CONFIG, |_| None).unwrap();
             let (news, _) = mpsc::channel(1);
             let probes = crate::probes::probes(Duration::ZERO, Duration::ZERO, 1);
-            Town(Decider::new(launch, probes, &news, Rc::default()), Vec::new())
+            Town(Decider::new(launch, probes, &news, Rc::default(), None), Vec::new())
         }
 
         /// Another stream of the one proxy; its number is its place.
@@ -488,8 +571,8 @@
         let mut town = Town::new();
         let stream = town.join(true);
         town.turn();
-        let owed_at = town.0.streams[&ProxyId(2)].owed[0].1;
-        let silent_at = owed_at + town.0.silent_after;
+        let owed_at = town.0.presence.streams[&ProxyId(2)].owed[0].1;
+        let silent_at = owed_at + town.0.presence.silent_after;
         town.0.silences(silent_at - 1.0);
         assert!(town.0.heard.is_empty(), "not yet");
         town.0.silences(silent_at);
@@ -514,11 +597,11 @@
         let mut town = Town::new();
         let stream = town.join(true);
         town.turn();
-        let silent_at = town.0.streams[&ProxyId(2)].owed[0].1 + town.0.silent_after;
+        let silent_at = town.0.presence.streams[&ProxyId(2)].owed[0].1 + town.0.presence.silent_after;
         town.0.silences(silent_at);
         assert_eq!(town.turn(), [LEFT]);
         town.told(stream);
-        town.0.silences(silent_at + town.0.silent_after);
+        town.0.silences(silent_at + town.0.presence.silent_after);
         let end = town.1[0].try_recv();
         assert_eq!((end, town.turn()), (Err(mpsc::error::TryRecvError::Disconnected), vec![]));
     }
@@ -528,7 +611,7 @@
         let mut town = Town::new();
         let stream = town.join(true);
         town.turn();
-        let silent_at = town.0.streams[&ProxyId(2)].owed[0].1 + town.0.silent_after;
+        let silent_at = town.0.presence.streams[&ProxyId(2)].owed[0].1 + town.0.presence.silent_after;
         town.0.silences(silent_at);
         town.turn();
         town.0.hear(News::Said(Some((stream, ProxyId(2))), Err("latency is missing".into())));
@@ -579,7 +662,7 @@
         let stream = town.join(true);
         town.turn();
         let mut sent = 0;
-        while town.0.streams.contains_key(&ProxyId(2)) {
+        while town.0.presence.streams.contains_key(&ProxyId(2)) {
             let everyone = Order::Mark { number: MarkId(sent), everyone: true };
             town.0.turn_by(|_, _, _| vec![everyone]);
             sent += 1;
@@ -608,7 +691,149 @@
             }
             town.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id as u32 - 2) }]);
         }
-        assert_eq!((town.0.names.workers.count(), town.0.listed.len(), town.0.addresses.len()), (1, 1, 1));
+        assert_eq!((town.0.names.workers.count(), town.0.roster.counts()), (1, (1, 1)));
         assert_eq!(town.0.names.workers.known("s-39"), Some(38), "ids are not given out again");
     }
+
+    impl Town {
+        fn list(&mut self, version: u64, entries: &[(&str, &str)]) {
+            let entry = |(id, lifecycle): &(&str, &str)| {
+                let about = r#""hostPort":"127.0.0.1:1","zone":"a","weight":1"#;
+                format!(r#"{{"instanceId":"{id}","lifecycle":"{lifecycle}",{about}}}"#)
+            };
+            let entries: Vec<String> = entries.iter().map(entry).collect();
+            let listing = format!(r#"{{"generation":{version},"instances":[{}]}}"#, entries.join(","));
+            self.0.hear(News::Listing(serde_json::from_str(&listing).unwrap()));
+        }
+
+        fn ask(&mut self, number: u64, wishes: &[(&str, Wanted)]) -> Verdict {
+            let wish = |(name, wanted): &(&str, Wanted)| {
+                (name.to_string(), Wish { wanted: *wanted, ..Wish::default() })
+            };
+            let workers = wishes.iter().map(wish).collect();
+            let intent = Box::new(Intent { workers, drain_grace: Some(2500.0), ..Intent::default() });
+            let (verdict, mut told) = oneshot::channel();
+            self.0.answer(Ask::Change { number, by: "ann".into(), intent, verdict });
+            told.try_recv().expect("answered at once")
+        }
+
+        /// Turns until nothing is told any more, each message answered.
+        fn settle(&mut self, stream: StreamId) -> String {
+            let mut all = String::new();
+            for _ in 0..4 {
+                self.turn();
+                let told = self.told(stream);
+                for mark in told.split("ticket=").skip(1) {
+                    self.ack(stream, mark.split_whitespace().next().unwrap().parse().unwrap());
+                }
+                all += &told;
+            }
+            self.turn();
+            all
+        }
+
+        fn phases(&self) -> Vec<(String, Phase, &'static str)> {
+            let state = self.0.state();
+            let phase =
+                |w: &WorkerState| (w.name.clone(), w.composed.listed.phase, w.composed.phase_from.name());
+            state.workers.iter().map(phase).collect()
+        }
+    }
+
+    #[test]
+    fn a_change_is_taken_over_whole_in_the_turn_it_is_asked_or_refused_and_nothing_changes() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.list(5, &[("s-2", "ready")]);
+        town.settle(stream);
+        let refused = town.ask(2, &[("s-1", Wanted::Out), ("s-2", Wanted::Draining)]).unwrap_err();
+        assert_eq!(refused[0].tag(), "no-ready-worker");
+        assert!(town.0.heard.is_empty() && town.0.progress.all().next().is_none());
+        assert_eq!(town.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
+        let heard = town.turn();
+        assert!(
+            matches!(&heard[..], [Event::Figures(of), Event::List { kind: ListKind::Changes, workers, .. }]
+            if of.drain_grace == 2500.0 && workers.len() == 1 && workers[0].phase == Phase::Draining),
+            "{heard:?}"
+        );
+        let told = town.told(stream);
+        assert!(told.contains("out=s-1"), "{told}");
+        town.0.look(1e18);
+        assert_eq!(town.0.state().changes[0].held_by, 0, "told and not answered is not held");
+        let mark = told.split("ticket=").nth(1).unwrap().trim().parse().unwrap();
+        town.ack(stream, mark);
+        town.settle(stream);
+        town.0.look(2e18);
+        let change = &town.0.state().changes[0];
+        assert!(matches!(change.stage, juniperrail_intent::Stage::Held { .. }), "{change:?}");
+        assert_eq!((change.number, change.held_by, change.joined), (2, 1, 1));
+        let told = &town.0.state().proxies[0];
+        assert_eq!(
+            (told.shut_out.as_slice(), told.owed, told.mark_sent),
+            (&["s-1".to_string()][..], 0, told.mark_answered)
+        );
+        let lines = town.0.state().tables.into_iter().flat_map(|table| table.lines);
+        assert_eq!(lines.map(|(worker, _)| worker).collect::<Vec<_>>(), ["s-1", "s-2"], "its line goes with the next batch");
+    }
+
+    #[test]
+    fn discovery_and_the_operator_compose_in_what_the_module_is_told() {
+        let mut town = Town::new();
+        town.turn();
+        town.list(5, &[("s-2", "ready"), ("s-3", "draining")]);
+        town.turn();
+        assert_eq!(town.ask(2, &[("s-3", Wanted::Ready), ("s-9", Wanted::Ready)]), Ok(()));
+        let phase =
+            |town: &Town, name: &str| town.phases().into_iter().find(|w| w.0 == name).map(|w| (w.1, w.2));
+        assert_eq!(phase(&town, "s-3"), Some((Phase::Ready, "operator")));
+        assert_eq!(phase(&town, "s-9"), None, "who is named and placed nowhere waits");
+        town.list(6, &[("s-3", "gone")]);
+        town.turn();
+        assert_eq!(phase(&town, "s-3"), Some((Phase::Gone, "discovery")));
+        assert_eq!(town.ask(3, &[("s-3", Wanted::Follow)]), Ok(()));
+        assert_eq!(town.ask(4, &[("s-3", Wanted::Ready)]), Ok(()));
+        assert_eq!(phase(&town, "s-3"), Some((Phase::Gone, "discovery")), "gone stays gone");
+        town.list(7, &[("s-3", "ready"), ("s-9", "draining")]);
+        assert_eq!(phase(&town, "s-3"), Some((Phase::Ready, "discovery")));
+        assert_eq!(phase(&town, "s-9"), Some((Phase::Draining, "discovery")));
+    }
+
+    #[test]
+    fn whom_the_operator_took_out_is_forgotten_and_comes_back_by_another_id() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.list(5, &[("s-2", "ready")]);
+        town.settle(stream);
+        assert_eq!(town.ask(2, &[("s-2", Wanted::Out)]), Ok(()));
+        assert!(town.settle(stream).contains("out=s-2"));
+        let id = town.0.names.workers.known("s-2").unwrap();
+        town.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id) }]);
+        let again = town.0.names.workers.known("s-2").unwrap();
+        assert_ne!(again, id);
+        // A whole list names it still; it stays out.
+        town.list(6, &[("s-1", "ready"), ("s-2", "ready")]);
+        town.settle(stream);
+        assert_eq!(town.ask(3, &[]), Ok(()));
+        let heard = town.turn();
+        assert!(
+            matches!(&heard[..], [Event::List { workers, .. }]
+            if workers[0].worker == WorkerId(again) && workers[0].phase == Phase::Ready),
+            "{heard:?}"
+        );
+    }
+
+    #[test]
+    fn decisions_that_start_anew_keep_what_the_operator_wants() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.list(5, &[("s-2", "ready")]);
+        town.settle(stream);
+        assert_eq!(town.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
+        town.settle(stream);
+        town.0.turn_by(|_, _, _| panic!("out of range"));
+        let heard = town.turn();
+        let Event::List { workers, .. } = &heard[0] else { panic!("{heard:?}") };
+        assert_eq!(workers.iter().map(|w| w.phase).collect::<Vec<_>>(), [Phase::Draining, Phase::Ready]);
+        assert!(matches!(&heard[1], Event::Figures(of) if of.drain_grace == 2500.0));
+    }
 }
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -1,14 +1,19 @@
 //! What a manager is told at its start: the `PROXY_*` variables and the JSON file that one of them names.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
+use juniperrail_intent::{judge_alone, Datastores, Intent, World};
 use juniperrail_interface::{Ms, Start};
+use juniperrail_model::{Data, Schema};
+use juniperrail_north::OperatorFile;
 use juniperrail_start::Names;
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::discovery::Listing;
+use crate::listing::Listing;
 
 /// All that a manager is told at its start, checked.
 pub struct Launch {
@@ -22,6 +27,16 @@
     pub(crate) zones: Vec<String>,
     /// A stream that owes an answer and says nothing for so long is taken for lost.
     pub(crate) silent_after: Ms,
+    /// What the operator's file says, if it says anything.
+    pub(crate) operator: Option<Operator>,
+}
+
+/// The operator's file as read at the start.
+pub(crate) struct Operator {
+    pub file: OperatorFile,
+    pub schema: Arc<Schema>,
+    pub data: Data,
+    pub intent: Intent,
 }
 
 const DISCOVERY: &str = "PROXY_DISCOVERY";
@@ -137,6 +152,41 @@
             fixed,
             names,
             zones,
+            operator: None,
         })
     }
+
+    /// Takes what the operator's file says beside the settings. One that is not there says nothing, unless it
+    /// `must` be; what does not fit the model or the settings is a fault, told in one line.
+    pub fn with_operator_file(mut self, path: impl Into<PathBuf>, must: bool) -> Result<Launch, String> {
+        let (file, schema) = (OperatorFile::new(path), Arc::new(juniperrail_model::schema()));
+        let shown = file.path().display().to_string();
+        let data = match file.read(&schema)? {
+            None if must => return Err(format!("{shown} is not there")),
+            None => return Ok(self),
+            // It says nothing, so nothing is on.
+            Some(data) if data.is_empty() => return Ok(self),
+            Some(data) => data,
+        };
+        let checked = Datastores::new(schema.clone(), 0.0, data.clone());
+        checked.map_err(|refused| format!("{shown}: {refused}"))?;
+        let intent = Intent::read(&schema, &data);
+        let names = &self.names;
+        let operation = |op| names.ops.name(op as u32).to_string();
+        let operations: Vec<String> = (0..self.fixed.start.operations.len()).map(operation).collect();
+        let world = World {
+            now: 0.0,
+            settings: &self.fixed.start,
+            operations: &operations,
+            zone_name: &|_| String::new(),
+            zone_known: &|zone| self.zones.iter().any(|known| known == zone),
+            joined: 0,
+            readers: &|_| 0,
+        };
+        if let Some(refusal) = judge_alone(&world, &intent).first() {
+            return Err(format!("{shown}: {}: {refusal}", refusal.path()));
+        }
+        self.operator = Some(Operator { file, schema, data, intent });
+        Ok(self)
+    }
 }
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -11,15 +11,20 @@
 //! # }
 //! ```
 
+mod clock;
 mod decider;
 mod discovery;
 mod fault;
 mod http;
 mod launch;
+mod listing;
+mod news;
 mod places;
 mod plane;
+mod presence;
 mod probes;
 mod reload;
+mod roster;
 mod streams;
 mod tally;
 mod text;
@@ -92,10 +97,10 @@
             collectors: places::Places::new(budget.collectors),
             last: Default::default(),
         });
-        let decider = decider::Decider::new(launch, probes, &news, afresh.clone());
+        let decider = decider::Decider::new(launch, probes, &news, afresh.clone(), None);
         drop(news);
-        log::info!("{} serves on {address}", fixed.name);
-        log::debug!("of {} descriptors beside {proxies} proxies: {budget:?}", fixed.sockets);
+        tracing::info!("{} serves on {address}", fixed.name);
+        tracing::debug!("of {} descriptors beside {proxies} proxies: {budget:?}", fixed.sockets);
         let tasks = async {
             tokio::join!(
                 decider.run(inbox),
--- a/crates/manager/src/main.rs
+++ b/crates/manager/src/main.rs
@@ -1,3 +1,5 @@
+mod logs;
+
 use std::process::ExitCode;
 
 use juniperrail_manager::{Launch, Manager};
@@ -5,7 +7,7 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    logs::start(logs::Form::Text);
     match run().await {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
@@ -27,7 +29,7 @@
     };
     tokio::select! {
         _ = async { tokio::join!(manager.serve(), reloading) } => {}
-        _ = ended.recv() => log::info!("told to end"),
+        _ = ended.recv() => tracing::info!("told to end"),
     }
     Ok(())
 }
--- a/crates/manager/src/places.rs
+++ b/crates/manager/src/places.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-use crate::decider::StreamId;
+use crate::news::StreamId;
 
 /// Descriptors that are nobody's: standard streams, the runtime's and the signals' own, the listener, a watch
 /// beside the one that follows it, a file that is read.
--- a/crates/manager/src/plane.rs
+++ b/crates/manager/src/plane.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use juniperrail_interface::*;
+use juniperrail_north::{OperationState, ProxyState, TableState};
 use juniperrail_start::Names;
 
+use crate::presence::{Presence, Stream};
 use crate::text::{self, Part};
 
 type Level = (f64, Retry);
@@ -161,6 +163,47 @@
         }
     }
 
+    /// How many proxies hold a line of the worker from here.
+    pub fn readers(&self, worker: WorkerId) -> usize {
+        let holds = |proxy: &&Proxy| proxy.bound.values().any(|table| self.lists(*table, worker));
+        self.proxies.values().filter(holds).count()
+    }
+
+    /// The tables as written to whoever is bound to them.
+    pub fn table_states(&self, names: &Names) -> Vec<TableState> {
+        let line = |(worker, weight): (&WorkerId, &f64)| (names.workers.name(worker.0).to_string(), *weight);
+        let read = |id: &TableId| self.proxies.values().any(|proxy| proxy.bound.values().any(|of| of == id));
+        let tables = self.tables.iter().filter(|(id, _)| read(id));
+        tables
+            .map(|(id, of)| TableState { number: id.0, lines: of.lines.iter().map(line).collect() })
+            .collect()
+    }
+
+    /// What each joined proxy was told over its stream.
+    pub fn proxy_states(&self, names: &Names, presence: &Presence, now: Ms) -> Vec<ProxyState> {
+        let state = |(id, stream): (ProxyId, &Stream)| {
+            let proxy = self.proxies.get(&id)?;
+            let out = proxy.told.iter().filter(|(_, out)| **out);
+            let operation = |op: OpId| OperationState {
+                name: names.ops.name(op.0.into()).to_string(),
+                table: proxy.bound.get(&op).map(|table| table.0),
+                level: proxy.bound.get(&op).and_then(|_| self.level(proxy, op)),
+            };
+            Some(ProxyState {
+                number: id.0,
+                zone: names.zones.name(stream.zone.0.into()).to_string(),
+                mark_sent: stream.sent.map(|mark| mark.0),
+                mark_answered: stream.answered.map(|mark| mark.0),
+                owed: stream.owed.len(),
+                owed_for: stream.owed.front().map(|(_, sent)| now - sent),
+                messages_lately: stream.messages.len(),
+                shut_out: out.map(|(worker, _)| names.workers.name(worker.0).to_string()).collect(),
+                operations: ops_of(0, names).map(operation).collect(),
+            })
+        };
+        presence.here().filter_map(state).collect()
+    }
+
     fn lists(&self, table: TableId, worker: WorkerId) -> bool {
         self.tables.get(&table).is_some_and(|table| table.lines.contains_key(&worker))
     }
--- a/crates/manager/src/reload.rs
+++ b/crates/manager/src/reload.rs
@@ -27,13 +27,13 @@
     pub fn reload(&self, told: Result<Launch, String>) {
         let launch = match told {
             Ok(launch) => launch,
-            Err(why) => return log::error!("the configuration stays as it was: {why}"),
+            Err(why) => return tracing::error!("the configuration stays as it was: {why}"),
         };
         for what in self.fixed.other_than(&launch.fixed) {
-            log::warn!("{what} cannot change while running and stays as it was");
+            tracing::warn!("{what} cannot change while running and stays as it was");
         }
         self.discovery
             .send_if_modified(|known| std::mem::replace(known, launch.discovery) != launch.discovery);
-        log::info!("the configuration was read again: discovery is at {}", launch.discovery);
+        tracing::info!("the configuration was read again: discovery is at {}", launch.discovery);
     }
 }
--- /dev/null
+++ b/crates/manager/src/roster.rs
@@ -0,0 +1,157 @@
+//! The workers by name as all sources word them, turned into what the decisions are told by id.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use juniperrail_intent::{Composed, Composer, Intent, Wish};
+use juniperrail_interface::*;
+use juniperrail_start::Names;
+
+use crate::listing::Listing;
+
+#[derive(Default)]
+pub struct Roster {
+    composer: Composer,
+    /// As the decisions were last told; who is gone is not kept.
+    listed: BTreeMap<WorkerId, Listed>,
+    addresses: BTreeMap<WorkerId, SocketAddr>,
+    pub version: u64,
+}
+
+impl Roster {
+    /// Takes over what discovery says; the decisions are to be told the event.
+    pub fn hear(&mut self, listing: &Listing, kind: ListKind, names: &mut Names) -> Event {
+        let (entries, all) = listing.entries(names);
+        // Guards against an entry that can't be read: a whole list without it would tell that worker gone.
+        let kind = if all { kind } else { ListKind::Changes };
+        tracing::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
+        self.version = listing.version;
+        let mut workers = Vec::new();
+        let mut named = BTreeSet::new();
+        if kind != ListKind::Changes {
+            self.listed.clear();
+            self.addresses.clear();
+        }
+        for (listed, address) in entries {
+            let name = names.workers.name(listed.worker.0).to_string();
+            self.composer.tell(&name, listed, address);
+            workers.extend(self.told(&name, names));
+            named.insert(name);
+        }
+        if kind != ListKind::Changes {
+            self.composer.only(&|name| named.contains(name));
+            // Who stands in no list of discovery's at all is not gone for that.
+            self.number(names);
+            let placed: Vec<String> = self.composer.placed().map(|(name, _)| name.to_string()).collect();
+            workers.extend(placed.iter().filter_map(|name| self.told(name, names)));
+        }
+        Event::List { kind, version: listing.version, workers }
+    }
+
+    /// Takes over what the operator wants; the decisions are to be told the event, if anything is new to them.
+    pub fn wish(&mut self, intent: &Intent, names: &mut Names) -> Option<Event> {
+        let changed = self.composer.wish(intent);
+        self.number(names);
+        let mut workers = Vec::new();
+        for name in changed {
+            let Some(id) = names.workers.known(&name).map(WorkerId) else { continue };
+            let before = self.listed.get(&id).cloned();
+            match self.told(&name, names) {
+                Some(listed) if before.as_ref() == Some(&listed) => {}
+                Some(listed) if before.is_none() && listed.phase == Phase::Gone => {}
+                Some(listed) => workers.push(listed),
+                // Nobody says any more where it is.
+                None => workers.extend(before.map(|listed| {
+                    self.listed.remove(&id);
+                    self.addresses.remove(&id);
+                    Listed { phase: Phase::Gone, ..listed }
+                })),
+            }
+        }
+        let (kind, version) = (ListKind::Changes, self.version);
+        (!workers.is_empty()).then_some(Event::List { kind, version, workers })
+    }
+
+    /// Gives ids to what the operator alone places.
+    fn number(&self, names: &mut Names) {
+        for (name, place) in self.composer.placed() {
+            names.worker(name);
+            names.zone(&place.zone);
+            names.machine(&place.machine);
+        }
+    }
+
+    /// One worker as the decisions are told it from now on.
+    fn told(&mut self, name: &str, names: &Names) -> Option<Listed> {
+        let Composed { listed, address, .. } = composed(&self.composer, name, names)?;
+        self.addresses.remove(&listed.worker);
+        if listed.phase == Phase::Gone {
+            self.listed.remove(&listed.worker);
+        } else {
+            self.listed.insert(listed.worker, listed.clone());
+            self.addresses.extend(address.map(|address| (listed.worker, address)));
+        }
+        Some(listed)
+    }
+
+    /// All workers as they are, and as they would be with another intent.
+    pub fn all(&self, intent: Option<&Intent>, names: &Names) -> BTreeMap<String, Composed> {
+        let every = |composer: &Composer| {
+            let one = |name: &str| Some((name.to_string(), composed(composer, name, names)?));
+            composer.names().filter_map(one).collect()
+        };
+        match intent {
+            None => every(&self.composer),
+            Some(intent) => {
+                let mut composer = self.composer.clone();
+                composer.wish(intent);
+                every(&composer)
+            }
+        }
+    }
+
+    /// For decisions that start anew: the list as held.
+    pub fn remembered(&self) -> Event {
+        let workers = self.listed.values().cloned().collect();
+        Event::List { kind: ListKind::Remembered, version: 0, workers }
+    }
+
+    pub fn address(&self, worker: WorkerId) -> Option<SocketAddr> {
+        self.addresses.get(&worker).copied()
+    }
+
+    /// The decisions name it no more. Whom the operator alone took out stays known, by another id.
+    pub fn forget(&mut self, worker: WorkerId, names: &mut Names) {
+        let name = names.workers.name(worker.0).to_string();
+        tracing::debug!("{name} is forgotten");
+        names.workers.forget(worker.0);
+        self.listed.remove(&worker);
+        self.addresses.remove(&worker);
+        if self.composer.forget(&name) {
+            self.composer.renumber(&name, names.worker(&name));
+        }
+    }
+
+    #[cfg(test)]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.listed.len(), self.addresses.len())
+    }
+}
+
+fn composed(composer: &Composer, name: &str, names: &Names) -> Option<Composed> {
+    // A change that is only judged may place workers that have no id yet: they are nobody's readers.
+    let placed = |wish: &Wish| {
+        let place = wish.place.as_ref()?;
+        let small = |known: Option<u32>| known.map_or(u16::MAX, |id| id as u16);
+        Some(Listed {
+            worker: WorkerId(names.workers.known(name).unwrap_or(u32::MAX)),
+            phase: Phase::Ready,
+            booted: None,
+            zone: ZoneId(small(names.zones.known(&place.zone))),
+            machine: MachineId(small(names.machines.known(&place.machine))),
+            cell: CellId(place.cell.unwrap_or(u32::MAX)),
+            weight: 0.0,
+        })
+    };
+    composer.composed(name, placed)
+}
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -15,8 +15,8 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
 
-use crate::decider::{Hello, News, StreamId};
 use crate::fault::{Fault, Reached};
+use crate::news::{Hello, News, StreamId};
 use crate::places::Places;
 use crate::text::{self, Flaw, Message};
 
@@ -65,7 +65,7 @@
             // Guards against running out of descriptors: a stranger's is taken back, all others stay.
             Err(cause) => {
                 if !failed_before {
-                    log::error!("no connection can be taken: {cause}");
+                    tracing::error!("no connection can be taken: {cause}");
                 }
                 doors.strangers.put_out();
                 sleep(pause).await;
@@ -85,11 +85,11 @@
         Ok(Ok(())) => None,
         Ok(Err(fault)) => Some(format!("{from}: {fault}")),
         Err(panic) => {
-            log::error!("the connection from {from} failed: {panic}");
+            tracing::error!("the connection from {from} failed: {panic}");
             Some(format!("{from}: {panic}"))
         }
     };
-    log::debug!("the connection from {from} ended: {why:?}");
+    tracing::debug!("the connection from {from} ended: {why:?}");
     doors.strangers.leave(id);
     doors.collectors.leave(id);
     _ = doors.news.send(News::Ended(id, why)).await;
--- a/crates/manager/src/tally.rs
+++ b/crates/manager/src/tally.rs
@@ -29,23 +29,23 @@
     pub fn log(&mut self, now: Ms, open: usize) {
         let tally = std::mem::replace(self, Tally { logged: now, ..Tally::default() });
         if tally.joined + tally.left > 0 {
-            log::info!("{} proxies joined, {} left, {open} are here", tally.joined, tally.left);
+            tracing::info!("{} proxies joined, {} left, {open} are here", tally.joined, tally.left);
         }
         let Count(broke, last) = tally.broke;
         if broke > 0 {
-            log::info!("{broke} connections broke, the last: {last}");
+            tracing::info!("{broke} connections broke, the last: {last}");
         }
         let Count(silent, last) = tally.silent;
         if silent + tally.spoke > 0 {
-            log::warn!("{silent} proxies fell silent, {} spoke again, the last: {last}", tally.spoke);
+            tracing::warn!("{silent} proxies fell silent, {} spoke again, the last: {last}", tally.spoke);
         }
         let Count(odd, last) = tally.odd;
         if odd > 0 {
-            log::warn!("{odd} lines passed over, the last: {last}");
+            tracing::warn!("{odd} lines passed over, the last: {last}");
         }
         let Count(away, last) = tally.away;
         if away > 0 {
-            log::warn!("{away} strangers turned away, the last: {last}");
+            tracing::warn!("{away} strangers turned away, the last: {last}");
         }
     }
 }
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -41,6 +41,10 @@
         self.names.len()
     }
 
+    pub fn get(&self, id: u32) -> Option<&str> {
+        self.names.get(&id).map(String::as_str)
+    }
+
     pub fn name(&self, id: u32) -> &str {
         &self.names[&id]
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -158,7 +158,12 @@
 
     /// How many joined proxies hold all that is wanted of these workers, by their answers.
     pub fn holding(&self, of: &BTreeSet<WorkerId>) -> usize {
-        let about = |key: &&Key| matches!(key, Key::Hold(id) | Key::Line(_, id) if of.contains(id));
+        // A removal changes nothing where its worker is held back already.
+        let about = |key: &&Key| match key {
+            Key::Hold(id) => of.contains(id),
+            Key::Line(_, id) => of.contains(id) && self.entries[key].wanted > 0.0,
+            Key::Level(..) => false,
+        };
         let open = self.pending.iter().filter(about).map(|key| (&self.entries[key], self.reach(*key)));
         let open: Vec<(&Entry, BTreeSet<ProxyId>)> = open.collect();
         let answered = |proxy: &Proxy, e: &Entry| e.owed.is_none_or(|mark| proxy.answered >= mark);
