NETCONF over SSH and TLS, a client, a command line, stand-ins: changes whole or refused

Change: crates/netconf speaks RFC 6241 with base 1.0 and 1.1 over SSH (russh, public keys alone) and TLS (rustls, client certificates mapped to users): all base operations, confirmed commits, subtree filters, get-data, get-schema, yang-library, monitoring, notifications. It serves on a thread and runtime of its own that gives way to the one that decides, behind two bounded queues. crates/framing is free of I/O and shared with crates/client, which others embed and the command line uses (check, schema, config, state, watch, completions). crates/standins holds discovery, proxies, workers, keys and certificates, and a checker of what proxies are written. Nothing listens unless the operator's file says so; the shipped one is empty.

--- a/crates/intent/src/access.rs
+++ b/crates/intent/src/access.rs
@@ -34,12 +34,22 @@
     permits: bool,
 }
 
+/// Where the name of a certificate's user is taken from, RFC 7589 section 7.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NameFrom {
+    Specified(String),
+    CommonName,
+    DnsName,
+}
+
 /// The users and rules of one configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Access {
     users: BTreeMap<String, User>,
     /// By their number.
     rules: Vec<Rule>,
+    /// Client certificates by fingerprint, and where the user's name is taken from.
+    certificates: BTreeMap<String, NameFrom>,
     /// Its part of the model that only admins may touch.
     own: Option<NodeId>,
 }
@@ -61,6 +71,15 @@
             let name = user.text("name").unwrap_or_default().to_string();
             access.users.insert(name, User { role, ssh_keys: texts(&user, "ssh-key") });
         }
+        for client in north.inner("netconf").inner("tls").entries("client") {
+            let from = match client.text("name-from") {
+                Some("common-name") => NameFrom::CommonName,
+                Some("dns-name") => NameFrom::DnsName,
+                _ => NameFrom::Specified(client.text("user").unwrap_or_default().to_string()),
+            };
+            let fingerprint = client.text("fingerprint").unwrap_or_default().to_string();
+            access.certificates.insert(fingerprint, from);
+        }
         // Entries stand in the order of their key, the number.
         for rule in north.entries("rule") {
             let doing = texts(&rule, "access");
@@ -94,6 +113,11 @@
         self.users.get(user).into_iter().flat_map(|user| &user.ssh_keys).map(String::as_str)
     }
 
+    /// Where the user's name is taken from for a certificate of this SHA-256, in lower-case hex.
+    pub fn certificate(&self, fingerprint: &str) -> Option<&NameFrom> {
+        self.certificates.get(fingerprint)
+    }
+
     /// Whether the user may do so at that very place.
     pub fn may(&self, user: &str, doing: Doing, path: &Path) -> bool {
         let Some(role) = self.role(user) else { return false };
--- a/crates/intent/src/compose.rs
+++ b/crates/intent/src/compose.rs
@@ -361,7 +361,9 @@
         town.tell(Ready, 1.0);
         assert_eq!(town.phase(), (Ready, Discovery));
         town.0.wish(&Intent::default());
-        town.0.forget("s-1");
+        assert!(town.0.forget("s-1"), "discovery still names it");
+        town.tell(Gone, 1.0);
+        assert!(!town.0.forget("s-1"));
         assert!(town.0.names().next().is_none(), "nothing is kept of who nobody names");
     }
 }
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -11,7 +11,7 @@
 mod stores;
 mod want;
 
-pub use access::{Access, Doing, Role};
+pub use access::{Access, Doing, NameFrom, Role};
 pub use compose::{Composed, Composer, Source};
 pub use edit::{edit, DefaultOp, Errors};
 pub use judge::{judge, judge_alone, Refusal, World};
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -773,7 +773,11 @@
             (&["s-1".to_string()][..], 0, told.mark_answered)
         );
         let lines = town.0.state().tables.into_iter().flat_map(|table| table.lines);
-        assert_eq!(lines.map(|(worker, _)| worker).collect::<Vec<_>>(), ["s-1", "s-2"], "its line goes with the next batch");
+        assert_eq!(
+            lines.map(|(worker, _)| worker).collect::<Vec<_>>(),
+            ["s-1", "s-2"],
+            "its line goes with the next batch"
+        );
     }
 
     #[test]
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -156,6 +156,12 @@
         })
     }
 
+    /// Whether an operator's data is sound by itself, whatever the settings are.
+    pub fn check_operator_data(data: &Data) -> Result<(), String> {
+        let schema = Arc::new(juniperrail_model::schema());
+        Datastores::new(schema, 0.0, data.clone()).map(drop).map_err(|refused| refused.to_string())
+    }
+
     /// Takes what the operator's file says beside the settings. One that is not there says nothing, unless it
     /// `must` be; what does not fit the model or the settings is a fault, told in one line.
     pub fn with_operator_file(mut self, path: impl Into<PathBuf>, must: bool) -> Result<Launch, String> {
@@ -168,8 +174,7 @@
             Some(data) if data.is_empty() => return Ok(self),
             Some(data) => data,
         };
-        let checked = Datastores::new(schema.clone(), 0.0, data.clone());
-        checked.map_err(|refused| format!("{shown}: {refused}"))?;
+        Launch::check_operator_data(&data).map_err(|why| format!("{shown}: {why}"))?;
         let intent = Intent::read(&schema, &data);
         let names = &self.names;
         let operation = |op| names.ops.name(op as u32).to_string();
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -19,6 +19,7 @@
 mod launch;
 mod listing;
 mod news;
+mod north;
 mod places;
 mod plane;
 mod presence;
@@ -49,6 +50,7 @@
     listener: TcpListener,
     address: SocketAddr,
     reloader: Reloader,
+    north: Option<north::Northbound>,
 }
 
 impl Manager {
@@ -59,7 +61,8 @@
         let listener = TcpListener::bind(listen).await.map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         let reloader = Reloader::new(&launch);
-        Ok(Manager { launch, listener, address, reloader })
+        let north = north::Northbound::bind(&launch)?;
+        Ok(Manager { launch, listener, address, reloader, north })
     }
 
     /// Where it listens, with the port that was found if port 0 was told.
@@ -67,6 +70,11 @@
         self.address
     }
 
+    /// Where it speaks NETCONF over SSH and over TLS, if the operator's file says so.
+    pub fn netconf(&self) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        self.north.as_ref().map_or((None, None), north::Northbound::addresses)
+    }
+
     /// To hand it its configuration anew while it serves.
     pub fn reloader(&self) -> Reloader {
         self.reloader.clone()
@@ -74,7 +82,7 @@
 
     /// Serves for good. Dropping the future stops the manager and ends all its connections.
     pub async fn serve(self) {
-        let Manager { launch, listener, address, reloader } = self;
+        let Manager { launch, listener, address, reloader, north } = self;
         let fixed = launch.fixed.clone();
         let (news, inbox) = mpsc::channel(INBOX);
         let afresh = Rc::new(Notify::new());
@@ -97,7 +105,9 @@
             collectors: places::Places::new(budget.collectors),
             last: Default::default(),
         });
-        let decider = decider::Decider::new(launch, probes, &news, afresh.clone(), None);
+        // Ends the north's thread as this is dropped.
+        let (north, _north) = north.map(north::Northbound::start).unzip();
+        let decider = decider::Decider::new(launch, probes, &news, afresh.clone(), north);
         drop(news);
         tracing::info!("{} serves on {address}", fixed.name);
         tracing::debug!("of {} descriptors beside {proxies} proxies: {budget:?}", fixed.sockets);
--- a/crates/manager/src/logs.rs
+++ b/crates/manager/src/logs.rs
@@ -9,7 +9,7 @@
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
 use tracing_subscriber::registry::LookupSpan;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum Form {
     #[default]
     Text,
--- a/crates/manager/src/main.rs
+++ b/crates/manager/src/main.rs
@@ -1,26 +1,45 @@
+mod cli;
 mod logs;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::Parser;
 use juniperrail_manager::{Launch, Manager};
 use tokio::signal::unix::{signal, SignalKind};
 
+use crate::cli::{Line, Trouble};
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    logs::start(logs::Form::Text);
-    match run().await {
+    let line = Line::parse();
+    let done = match line.command {
+        None => {
+            logs::start(line.log);
+            serve(line.operator_file).await.map_err(Trouble::Fault)
+        }
+        Some(command) => command.run(line.operator_file).await,
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("juniperrail: {why}");
-            ExitCode::FAILURE
+        Err(trouble) => {
+            eprintln!("juniperrail: {trouble}");
+            trouble.code()
         }
     }
 }
 
-async fn run() -> Result<(), String> {
+/// The launch with what the operator's file says; a file that is named has to be there.
+fn launched(operator_file: Option<PathBuf>) -> Result<Launch, String> {
+    let must = operator_file.is_some();
+    let path = operator_file.unwrap_or_else(|| cli::OPERATOR_FILE.into());
+    Launch::from_env()?.with_operator_file(path, must)
+}
+
+async fn serve(operator_file: Option<PathBuf>) -> Result<(), String> {
     let told = |kind| signal(kind).map_err(|why| why.to_string());
     let (mut ended, mut replaced) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
-    let manager = Manager::bind(Launch::from_env()?).await?;
+    let manager = Manager::bind(launched(operator_file)?).await?;
     let reloader = manager.reloader();
     let reloading = async {
         while replaced.recv().await.is_some() {
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -1,28 +1,16 @@
 //! Stories on real sockets: a manager, and stand-ins for discovery, proxies and collectors.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
 
 use juniperrail_manager::{Launch, Manager};
-
-const SETTINGS: &str = r#"{"tick-ms":1,"zones":["a","b"],"skus":["m2"],"n-instances":1,
-    "lanes":[{"name":"lookup","on-time-ms":500,"worth":1},{"name":"order","on-time-ms":500,"worth":3}],
-    "domain":{"level-kind":"rate","channel-rate":5000,"pending-max":5000,"overhead":4,"counted-over-ms":10000,
-    "worst-transit-ms":900,"period-ms":2000,"proxy-count":20,"cost-per-line":0.04},
-    "rules":{"drain-grace-ms":3000,"warm-up-ms":1000,"cold-share":0.3,"overload-factor":4},
-    "charges":{"cross-zone":0.01},"allowed":{"dial-timeout-ms":250}}"#;
+use juniperrail_standins::{address_served, list, Discovery, Peer, SETTINGS};
 
 fn entry(id: &str, lifecycle: &str) -> String {
-    let kind = r#""zone":"a","machineType":"m2","cell":3,"weight":1.0,"startedAtMs":0"#;
-    format!(r#"{{"instanceId":"{id}","hostPort":"127.0.0.1:9",{kind},"lifecycle":"{lifecycle}"}}"#)
-}
-
-fn list(version: u64, full: bool, entries: &[String]) -> String {
-    format!(r#"{{"generation":{version},"reset":{full},"instances":[{}]}}"#, entries.join(","))
+    juniperrail_standins::entry(id, "a", "127.0.0.1:9", lifecycle)
 }
 
 fn config(discovery: SocketAddr, sockets: usize) -> String {
@@ -57,7 +45,7 @@
     }
 
     fn peer(&self) -> Peer {
-        Peer::new(TcpStream::connect(self.manager).unwrap())
+        Peer::dial(self.manager)
     }
 
     fn proxy(&self, number: u16) -> Peer {
@@ -71,71 +59,7 @@
 }
 
 fn watch(discovery: &TcpListener, status: &str) -> (String, Peer) {
-    let mut peer = Peer::new(discovery.accept().unwrap().0);
-    let asked = peer.line().unwrap();
-    while peer.line().is_some_and(|line| !line.is_empty()) {}
-    peer.raw(&format!("HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n"));
-    (asked, peer)
-}
-
-/// Where a started program listens, by its log.
-fn address_served(log: &mut impl BufRead) -> SocketAddr {
-    let mut lines = log.lines().map(Result::unwrap);
-    let served = lines.find_map(|line| Some(line.split_once("serves on ")?.1.parse().unwrap()));
-    served.expect("it serves")
-}
-
-struct Peer(BufReader<TcpStream>);
-
-impl Peer {
-    fn new(socket: TcpStream) -> Peer {
-        socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-        socket.set_nodelay(true).unwrap();
-        Peer(BufReader::new(socket))
-    }
-
-    fn joined(manager: SocketAddr, number: u16) -> Peer {
-        let mut peer = Peer::new(TcpStream::connect(manager).unwrap());
-        peer.say(&format!("hello node={number} locality=a w=21.5 cold=1"));
-        peer
-    }
-
-    fn raw(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).unwrap();
-    }
-
-    fn say(&mut self, line: &str) {
-        self.raw(&format!("{line}\r\n"));
-    }
-
-    fn chunk(&mut self, text: &str) {
-        self.raw(&format!("{:x}\r\n{text}\r\n", text.len()));
-    }
-
-    /// The next line, or `None` once the connection has ended.
-    fn line(&mut self) -> Option<String> {
-        let mut line = String::new();
-        match self.0.read_line(&mut line) {
-            Ok(0) => None,
-            Ok(_) => Some(line.strip_suffix("\r\n").expect("CRLF").to_string()),
-            Err(err) if err.kind() == std::io::ErrorKind::ConnectionReset => None,
-            Err(err) => panic!("nothing came: {err}"),
-        }
-    }
-
-    fn line_with(&mut self, part: &str) -> String {
-        loop {
-            let line = self.line().unwrap_or_else(|| panic!("ended before {part:?} came"));
-            if line.contains(part) {
-                return line;
-            }
-        }
-    }
-
-    fn alive(&mut self) {
-        self.say("probe");
-        assert_eq!(self.line().as_deref(), Some("alive"));
-    }
+    Discovery::accept(discovery, status)
 }
 
 #[test]
--- a/crates/model/src/json.rs
+++ b/crates/model/src/json.rs
@@ -8,6 +8,7 @@
 use crate::path::{Path, Step};
 use crate::schema::{Kind, NodeId, Schema};
 use crate::value::{Type, Value};
+use crate::xml::Element;
 
 /// Data as one JSON object.
 pub fn write(schema: &Schema, data: &Data) -> Json {
@@ -46,6 +47,42 @@
     }
 }
 
+/// Elements as they came from a server, state among them, as one JSON object. What the modules don't know is left
+/// out: other namespaces are not ours to word.
+pub fn from_xml(schema: &Schema, elements: &[Element]) -> Json {
+    from_xml_below(schema, None, elements)
+}
+
+fn from_xml_below(schema: &Schema, parent: Option<NodeId>, elements: &[Element]) -> Json {
+    let mut object = Map::new();
+    for element in elements {
+        let module = schema.modules.iter().position(|of| of.namespace == *element.ns);
+        let Some(id) = module.and_then(|module| schema.child(parent, &element.name, Some(module))) else {
+            continue;
+        };
+        let node = schema.node(id);
+        let name = match schema.enters_module(id) {
+            true => format!("{}:{}", schema.modules[node.module].name, node.name),
+            false => node.name.clone(),
+        };
+        let value = |ty: &Type| ty.read(&element.text).map_or(Json::Null, |value| scalar(&value, &node.kind));
+        let json = match &node.kind {
+            Kind::Leaf { ty, .. } | Kind::LeafList { ty } => value(ty),
+            _ => from_xml_below(schema, Some(id), &element.children),
+        };
+        match &node.kind {
+            Kind::List { .. } | Kind::LeafList { .. } => {
+                match object.entry(name).or_insert(Json::Array(vec![])) {
+                    Json::Array(entries) => entries.push(json),
+                    _ => unreachable!("the schema says that a list stands here"),
+                }
+            }
+            _ => _ = object.insert(name, json),
+        }
+    }
+    Json::Object(object)
+}
+
 /// A JSON object as drafts of configuration, below a place (`None`: the top).
 pub fn drafts(schema: &Schema, parent: Option<NodeId>, json: &Json) -> Result<Vec<Draft>, Fault> {
     drafts_below(schema, parent, &Path::default(), json)
--- a/crates/model/src/schema.rs
+++ b/crates/model/src/schema.rs
@@ -188,6 +188,16 @@
                     let node = self.node(statement, here, None, false)?;
                     self.schema.notifications.push(node);
                 }
+                // The fronts read what an operation takes; here it only has to be sound.
+                "rpc" => {
+                    allowed(statement, &["input"])?;
+                    for input in statement.all("input") {
+                        allowed(input, &DATA)?;
+                        for below in &input.below {
+                            self.node(below, here, None, false)?;
+                        }
+                    }
+                }
                 other => return Err(format!("line {}: {other} is not supported", statement.line)),
             }
         }
--- a/crates/model/src/xml.rs
+++ b/crates/model/src/xml.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-use quick_xml::escape::escape;
+use quick_xml::escape::{escape, partial_escape};
 use quick_xml::events::attributes::Attribute;
 use quick_xml::events::{BytesStart, Event};
 use quick_xml::name::{PrefixDeclaration, ResolveResult};
@@ -20,6 +20,9 @@
 /// NETCONF's own namespace, RFC 6241, of the `operation` attribute among others.
 pub const NETCONF: &str = "urn:ietf:params:xml:ns:netconf:base:1.0";
 
+/// The namespace of `xml:lang`, always bound to that prefix.
+pub const XML: &str = "http://www.w3.org/XML/1998/namespace";
+
 /// Elements nested deeper are refused: the modules need eight, and what nests ten thousand deep is an attack.
 pub const DEEPEST: usize = 64;
 /// An element has no more attributes and namespaces of its own.
@@ -276,7 +279,10 @@
         _ = write!(text, " xmlns:{prefix}=\"{}\"", escape(ns.as_str()));
     }
     for (place, attr) in element.attrs.iter().enumerate() {
-        if attr.ns.is_empty() {
+        if &*attr.ns == XML {
+            // No other prefix may be bound to it.
+            _ = write!(text, " xml:{}=\"{}\"", attr.name, attribute(&attr.value));
+        } else if attr.ns.is_empty() {
             _ = write!(text, " {}=\"{}\"", attr.name, attribute(&attr.value));
         } else {
             let (name, ns, value) = (&attr.name, escape(&*attr.ns), attribute(&attr.value));
@@ -287,7 +293,13 @@
         text.push_str("/>");
     } else if element.children.is_empty() {
         // A carriage return that is written plain is read as a line end.
-        _ = write!(text, ">{}</{}>", escape(element.text.as_str()).replace('\r', "&#13;"), element.name);
+        // The greater-than sign is escaped too: `]]>` would end a message in NETCONF's older framing.
+        _ = write!(
+            text,
+            ">{}</{}>",
+            partial_escape(element.text.as_str()).replace('\r', "&#13;"),
+            element.name
+        );
     } else {
         text.push('>');
         line(text);
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -41,6 +41,11 @@
     assert_eq!(text["juniperrail-manager:figures"]["drain-grace"], "2500.0");
     let drafts = json::drafts(&schema, None, &text).unwrap();
     assert_eq!(Data::from_drafts(&schema, &drafts).unwrap(), data);
+    assert_eq!(
+        json::from_xml(&schema, &xml::elements(&schema, &data)),
+        text,
+        "as a client words what it got"
+    );
     assert_eq!(Data::from_drafts(&schema, &data.drafts()).unwrap(), data);
 }
 
--- a/crates/north/src/keeper.rs
+++ b/crates/north/src/keeper.rs
@@ -15,7 +15,7 @@
 
 use crate::ask::{Ask, Notice, Verdict, NOTICES};
 use crate::file::OperatorFile;
-use crate::state::State;
+use crate::state::{State, VersionState, VersionsState};
 
 /// A state no older is told again in place of a new one, however many ask.
 const STATE_AGE: Duration = Duration::from_millis(100);
@@ -302,8 +302,20 @@
     /// The state as the user may read it: what the proxies were really told, at most 100 ms ago.
     pub async fn state(&self, caller: &Caller) -> Result<Data, Refused> {
         let state = self.snapshot().await?;
-        let data = state.data(&self.0.schema);
         let inner = self.0.inner.lock().await;
+        let now = self.now();
+        let versions = inner.stores.versions().map(|version| VersionState {
+            number: version.number,
+            by: version.by.clone(),
+            age: now - version.at,
+        });
+        let waits = inner.stores.waits();
+        let versions = VersionsState {
+            unconfirmed_for: waits.map(|(until, _)| until - now),
+            overdue: waits.and_then(|(_, why)| why.map(str::to_string)),
+            versions: versions.collect(),
+        };
+        let data = state.data(&self.0.schema, &versions);
         Ok(inner.access.readable(&self.0.schema, &caller.user, &data))
     }
 
@@ -466,12 +478,6 @@
         self.put(&mut inner, caller, Store::Candidate, data)
     }
 
-    /// The versions of running that can be gone back to: number, when, by whom.
-    pub async fn versions(&self) -> Vec<(u64, Ms, String)> {
-        let inner = self.0.inner.lock().await;
-        inner.stores.versions().map(|version| (version.number, version.at, version.by.clone())).collect()
-    }
-
     /// Whether the user may do something with all there is, as getting schemas or being told notifications.
     pub async fn may_read(&self, caller: &Caller, path: &juniperrail_model::Path) -> bool {
         self.0.inner.lock().await.access.may(&caller.user, Doing::Read, path)
--- a/crates/north/src/lib.rs
+++ b/crates/north/src/lib.rs
@@ -10,4 +10,6 @@
 pub use ask::{Ask, Notice, Verdict, ASKS, NOTICES};
 pub use file::OperatorFile;
 pub use keeper::{Caller, Check, Ended, Keeper, Source, Told};
-pub use state::{ChangeState, OperationState, ProxyState, State, TableState, WorkerState};
+pub use state::{
+    ChangeState, OperationState, ProxyState, State, TableState, VersionState, VersionsState, WorkerState,
+};
--- a/crates/north/src/state.rs
+++ b/crates/north/src/state.rs
@@ -62,6 +62,21 @@
     pub changes: Vec<ChangeState>,
 }
 
+/// A version of running that can be gone back to.
+#[derive(Clone, Debug)]
+pub struct VersionState {
+    pub number: u64,
+    pub by: String,
+    pub age: Ms,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct VersionsState {
+    pub unconfirmed_for: Option<Ms>,
+    pub overdue: Option<String>,
+    pub versions: Vec<VersionState>,
+}
+
 /// Sets leaves by name at one place of the tree.
 struct Writer<'a> {
     schema: &'a Schema,
@@ -131,7 +146,7 @@
 
 impl State {
     /// As data of the module `juniperrail-state`.
-    pub fn data(&self, schema: &Schema) -> Data {
+    pub fn data(&self, schema: &Schema, versions: &VersionsState) -> Data {
         let mut data = Data::default();
         let at = schema.find(&["state"]).expect("the modules have a state");
         let mut top = Writer { schema, at, data: data.inner(at) };
@@ -143,6 +158,7 @@
             channel.figure("lines-waiting", self.lines_waiting, 3);
             channel.figure("lines-waiting-most", self.lines_waiting_most, 3);
         });
+        top.inner("versions", |all| versions.write(all));
         top.inner("changes", |all| self.changes.iter().for_each(|change| change.write(all)));
         data.tidy(schema);
         data
@@ -208,6 +224,18 @@
     }
 }
 
+impl VersionsState {
+    fn write(&self, all: &mut Writer<'_>) {
+        self.unconfirmed_for.iter().for_each(|left| _ = all.figure("unconfirmed-for", *left, 3));
+        self.overdue.iter().for_each(|why| _ = all.text("overdue", why));
+        for version in &self.versions {
+            all.entry("version", &[Value::Integer(version.number.into())], |entry| {
+                entry.text("by", &version.by).figure("age", version.age, 3);
+            });
+        }
+    }
+}
+
 impl ChangeState {
     fn write(&self, all: &mut Writer<'_>) {
         all.entry("change", &[Value::Integer(self.number.into())], |change| {
@@ -308,7 +336,12 @@
             ],
         };
         let schema = juniperrail_model::schema();
-        let data = state.data(&schema);
+        let versions = VersionsState {
+            unconfirmed_for: Some(-1.5),
+            overdue: Some("why".into()),
+            versions: vec![VersionState { number: 2, by: "ann".into(), age: 3.0 }],
+        };
+        let data = state.data(&schema, &versions);
         check(&schema, &data);
         let json = json::write(&schema, &data);
         let state = &json["juniperrail-state:state"];
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,25 @@
+//! Stand-ins for whom a manager meets, as the platform's protocol describes them, for tests, examples and
+//! measurements. Each is scripted from outside and does nothing by itself unless it says so. They know nothing of a
+//! manager's inside.
+
+mod credentials;
+mod discovery;
+mod peer;
+mod proxies;
+mod rules;
+mod worker;
+
+pub use credentials::{Authority, SshKeys};
+pub use discovery::{entry, list, Discovery};
+pub use peer::{address_served, Peer};
+pub use proxies::{Proxies, Table};
+pub use rules::{Broken, Limits, Rules};
+pub use worker::Worker;
+
+/// Settings of a small town: two operations, two zones, no avoidance, rates as levels.
+pub const SETTINGS: &str = r#"{"tick-ms":1,"zones":["a","b"],"skus":["m2"],"n-instances":1,
+    "lanes":[{"name":"lookup","on-time-ms":500,"worth":1},{"name":"order","on-time-ms":500,"worth":3}],
+    "domain":{"level-kind":"rate","channel-rate":5000,"pending-max":5000,"overhead":4,"counted-over-ms":10000,
+    "worst-transit-ms":900,"period-ms":2000,"proxy-count":20,"cost-per-line":0.04},
+    "rules":{"drain-grace-ms":3000,"warm-up-ms":1000,"cold-share":0.3,"overload-factor":4},
+    "charges":{"cross-zone":0.01},"allowed":{"dial-timeout-ms":250}}"#;
--- /dev/null
+++ b/crates/standins/src/peer.rs
@@ -0,0 +1,76 @@
+//! One connection, line by line.
+
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Nothing that is waited for takes so long, however busy the machine is.
+const WITHIN: Duration = Duration::from_secs(20);
+
+/// A connection that is spoken line by line, and fails loudly where nothing comes.
+pub struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    pub fn new(socket: TcpStream) -> Peer {
+        socket.set_read_timeout(Some(WITHIN)).expect("a live socket");
+        socket.set_nodelay(true).expect("a live socket");
+        Peer(BufReader::new(socket))
+    }
+
+    pub fn dial(address: SocketAddr) -> Peer {
+        Peer::new(TcpStream::connect(address).expect("somebody listens"))
+    }
+
+    /// A proxy of zone a that has joined.
+    pub fn joined(manager: SocketAddr, number: u16) -> Peer {
+        let mut peer = Peer::dial(manager);
+        peer.say(&format!("hello node={number} locality=a w=21.5 cold=1"));
+        peer
+    }
+
+    pub fn raw(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("the connection takes it");
+    }
+
+    pub fn say(&mut self, line: &str) {
+        self.raw(&format!("{line}\r\n"));
+    }
+
+    /// One chunk of an HTTP answer.
+    pub fn chunk(&mut self, text: &str) {
+        self.raw(&format!("{:x}\r\n{text}\r\n", text.len()));
+    }
+
+    /// The next line, or `None` once the connection has ended.
+    pub fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(line.strip_suffix("\r\n").expect("CRLF").to_string()),
+            Err(err) if err.kind() == ErrorKind::ConnectionReset => None,
+            Err(err) => panic!("nothing came: {err}"),
+        }
+    }
+
+    /// The first line from here on that holds the part.
+    pub fn line_with(&mut self, part: &str) -> String {
+        loop {
+            let line = self.line().unwrap_or_else(|| panic!("ended before {part:?} came"));
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    pub fn alive(&mut self) {
+        self.say("probe");
+        assert_eq!(self.line().as_deref(), Some("alive"));
+    }
+}
+
+/// Where a started program listens, by its log.
+pub fn address_served(log: &mut impl BufRead) -> SocketAddr {
+    let mut lines = log.lines().map(Result::unwrap);
+    let served = lines.find_map(|line| Some(line.split_once("serves on ")?.1.parse().unwrap()));
+    served.expect("it serves")
+}
