A lab: commits until held, turns under a flood of sessions, a thousand mixed changes

Change: crates/lab, with managers in processes of their own. The decider tells how late the turns that the module asked for come, as an event that costs nothing while nobody listens.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,55 @@
+//! Measurements, each with its bounds: a small table, and `N passed, N failed` alone on the last line. Managers run in
+//! processes of their own, everybody else is a stand-in of ours; all stays on the loopback.
+
+mod changes;
+mod child;
+mod netconf;
+mod report;
+mod town;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::report::Report;
+
+#[derive(Parser)]
+#[command(about = "Measures a juniperrail manager among stand-ins")]
+struct Line {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Subcommand)]
+enum Experiment {
+    /// Commits until all proxies hold them, turns under a flood of sessions, memory of sessions.
+    Netconf {
+        /// Commits that are timed.
+        #[arg(long, default_value_t = 100)]
+        commits: u32,
+        /// Turns that are timed with and without the flood, in thousands.
+        #[arg(long, default_value_t = 4)]
+        rounds: u32,
+    },
+    /// Changes drawn from a seed, valid and invalid mixed, at two managers under the eyes of the checker.
+    Changes {
+        #[arg(long, default_value_t = 1000)]
+        count: u32,
+        #[arg(long, default_value_t = 17)]
+        seed: u64,
+    },
+    /// One manager, for the other experiments.
+    #[command(hide = true)]
+    Serve { config: PathBuf, operator_file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let mut report = Report::default();
+    match Line::parse().experiment {
+        Experiment::Serve { config, operator_file } => return child::serve(&config, &operator_file),
+        Experiment::Netconf { commits, rounds } => netconf::run(&mut report, commits, rounds),
+        Experiment::Changes { count, seed } => changes::run(&mut report, count, seed),
+    }
+    report.close()
+}
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -30,6 +30,9 @@
 /// Only the wakes and silences due sooner matter.
 const LONGEST_SLEEP: Ms = 3_600_000.0;
 
+/// Where a turn that the module asked for tells how late it came, in milliseconds, as the field `late`.
+pub const TURN_TARGET: &str = "juniperrail::turns";
+
 /// How far the open changes have come is looked at no more often.
 const LOOK_EVERY: Ms = 5.0;
 
@@ -133,8 +136,11 @@
             }
             let now = self.clock.now();
             self.silences(now);
-            let due = self.wakes.extract_if(.., |(at, _)| *at <= now);
-            self.heard.extend(due.map(|(_, handle)| Event::Woken { handle }));
+            let due: Vec<(Ms, String)> = self.wakes.extract_if(.., |(at, _)| *at <= now).collect();
+            if let Some(at) = due.iter().map(|(at, _)| *at).reduce(f64::min) {
+                tracing::trace!(target: TURN_TARGET, late = now - at);
+            }
+            self.heard.extend(due.into_iter().map(|(_, handle)| Event::Woken { handle }));
             last = Instant::now();
             asked.into_iter().for_each(|ask| self.answer(ask));
             if !self.heard.is_empty() {
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -38,6 +38,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::LocalSet;
 
+pub use decider::TURN_TARGET;
 pub use launch::Launch;
 pub use reload::Reloader;
 
