The command line as an operator types it, spans, the toy town on the shared stand-ins

A client may be dropped outside of its runtime: an SSH channel tells its end by a task and panicked there, found by the lab and now a story.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -89,7 +89,9 @@
 
 /// An open session. One operation is under way at a time.
 pub struct Client {
-    stream: Box<dyn Stream>,
+    /// `None` only while it is dropped.
+    stream: Option<Box<dyn Stream>>,
+    runtime: tokio::runtime::Handle,
     decoder: Decoder,
     framing: Framing,
     next_id: u64,
@@ -98,7 +100,7 @@
     pub session: u32,
     pub capabilities: Vec<String>,
     /// Keeps the transport below the stream alive.
-    _transport: Option<Box<dyn std::any::Any + Send>>,
+    transport: Option<Box<dyn std::any::Any + Send>>,
 }
 
 fn element(name: &str) -> Element {
@@ -114,21 +116,22 @@
     pub async fn dial(dial: &Dial) -> Result<Client, Failed> {
         let (stream, transport) = dial.connect().await?;
         let mut client = Client::over(stream).await?;
-        client._transport = transport;
+        client.transport = transport;
         Ok(client)
     }
 
     /// Over any stream on which a NETCONF server waits.
     pub async fn over(stream: impl Stream + 'static) -> Result<Client, Failed> {
         let mut client = Client {
-            stream: Box::new(stream),
+            stream: Some(Box::new(stream)),
+            runtime: tokio::runtime::Handle::current(),
             decoder: Decoder::default(),
             framing: Framing::EndOfMessage,
             next_id: 1,
             notifications: VecDeque::new(),
             session: 0,
             capabilities: Vec::new(),
-            _transport: None,
+            transport: None,
         };
         let capabilities = [BASE_1_0, BASE_1_1].map(|name| leaf("capability", name));
         let hello = element("hello").with(element("capabilities").with_all(capabilities));
@@ -156,8 +159,9 @@
     /// Writes bytes as they are, for who wants to know what a server makes of them.
     pub async fn send_raw(&mut self, bytes: &[u8]) -> Result<(), Failed> {
         let failed = |why: std::io::Error| Failed::new(Reached::Sent, Reason::Lost(why.to_string()));
-        self.stream.write_all(bytes).await.map_err(failed)?;
-        self.stream.flush().await.map_err(failed)
+        let Some(stream) = &mut self.stream else { return Ok(()) };
+        stream.write_all(bytes).await.map_err(failed)?;
+        stream.flush().await.map_err(failed)
     }
 
     async fn receive(&mut self) -> Result<Element, Failed> {
@@ -168,7 +172,10 @@
             if let Some(message) = message.map_err(|why| failed(Reason::Unreadable(why.to_string())))? {
                 return xml::read(&message).map_err(|why| failed(Reason::Unreadable(why.what)));
             }
-            match self.stream.read(&mut room).await {
+            let Some(stream) = &mut self.stream else {
+                return Err(failed(Reason::Lost("the session is over".into())));
+            };
+            match stream.read(&mut room).await {
                 Ok(0) => return Err(failed(Reason::Lost("the server ended the session".into()))),
                 Ok(read) => self.decoder.push(&room[..read]),
                 Err(why) => return Err(failed(Reason::Lost(why.to_string()))),
@@ -319,3 +326,13 @@
         self.rpc(element("close-session")).await.map(drop)
     }
 }
+
+/// Guards against a panic where the last of a session is dropped outside of its runtime: an SSH channel tells its
+/// end by a task.
+impl Drop for Client {
+    fn drop(&mut self) {
+        let _runtime = self.runtime.enter();
+        self.stream = None;
+        self.transport = None;
+    }
+}
--- a/crates/lab/src/netconf.rs
+++ b/crates/lab/src/netconf.rs
@@ -236,6 +236,8 @@
     report.figure(&format!("with {SESSIONS} idle sessions, MiB"), format!("{idle:.1}"));
     drop(sessions);
     drop(runtime);
+    // The sessions' ends are heard.
+    thread::sleep(Duration::from_secs(1));
     let flood = Flood::start(&town, &manager);
     let mut most = 0.0f64;
     for _ in 0..50 {
--- a/crates/manager/src/cli/remote.rs
+++ b/crates/manager/src/cli/remote.rs
@@ -11,10 +11,10 @@
 
 /// Where the manager is and who asks. Nothing is trusted that is not named.
 #[derive(Args)]
-#[group(id = "way", required = true, multiple = false, args = ["ssh", "tls"])]
+#[group(skip)]
 pub struct To {
     /// The manager's address for NETCONF over SSH.
-    #[arg(long, env = "JUNIPERRAIL_SSH", value_name = "ADDRESS", requires_all = ["user", "key", "host_key"])]
+    #[arg(long, env = "JUNIPERRAIL_SSH", value_name = "ADDRESS", conflicts_with = "tls", required_unless_present = "tls", requires_all = ["user", "key", "host_key"])]
     ssh: Option<String>,
     /// The manager's address for NETCONF over TLS.
     #[arg(long, env = "JUNIPERRAIL_TLS", value_name = "ADDRESS", requires_all = ["name", "authorities", "certificate", "key"])]
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -191,6 +191,7 @@
             Ask::State(tell) => _ = tell.send(Arc::new(self.state())),
             Ask::Judge { intent, verdict } => _ = verdict.send(self.judged(&intent)),
             Ask::Change { number, by, intent, verdict } => {
+                let _change = tracing::info_span!("change", number, by).entered();
                 let judged = self.judged(&intent);
                 match &judged {
                     Ok(()) => {
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
+use tracing::Instrument;
 
 use crate::fault::{Fault, Reached};
 use crate::news::{Hello, News, StreamId};
@@ -81,7 +82,8 @@
     life: impl Future<Output = Result<(), Fault>> + 'static,
     doors: Rc<Doors>,
 ) {
-    let why = match spawn_local(life).await {
+    let connection = tracing::info_span!("connection", %from, stream = id.0);
+    let why = match spawn_local(life.instrument(connection)).await {
         Ok(Ok(())) => None,
         Ok(Err(fault)) => Some(format!("{from}: {fault}")),
         Err(panic) => {
--- a/crates/manager/tests/north.rs
+++ b/crates/manager/tests/north.rs
@@ -524,6 +524,19 @@
     });
 }
 
+#[test]
+fn a_client_may_be_dropped_outside_of_its_runtime() {
+    let ground = Ground::new("dropped");
+    let manager = ground.manager(&ground.file("operator.xml", "", ""));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let client = runtime.block_on(ground.dial(&manager, "bob"));
+    drop(client);
+    runtime.block_on(async { ground.dial(&manager, "bob").await.close().await.unwrap() });
+    let late = runtime.block_on(ground.dial(&manager, "bob"));
+    drop(runtime);
+    drop(late);
+}
+
 #[test]
 fn two_sessions_edit_at_once_and_locks_keep_them_apart() {
     run(async {
--- a/crates/netconf/src/transport.rs
+++ b/crates/netconf/src/transport.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
+use tracing::Instrument;
 use x509_parser::extensions::GeneralName;
 
 use crate::service::Shared;
@@ -176,11 +177,13 @@
         };
         _ = socket.set_nodelay(true);
         let life = each(socket, from, places.clone(), place);
-        tokio::spawn(async move {
+        let connection = tracing::info_span!("northbound", %from);
+        let whole = async move {
             if let Err(why) = life.await {
                 tracing::info!("the northbound connection from {from} ends: {why}");
             }
-        });
+        };
+        tokio::spawn(whole.instrument(connection));
     }
 }
 
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -37,8 +37,12 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
+        Discovery::start_at("127.0.0.1:0").expect("a free port")
+    }
+
+    pub fn start_at(listen: &str) -> std::io::Result<Discovery> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
         let told = Arc::new(Mutex::new(Told::default()));
         let (watched, beaten) = (told.clone(), told.clone());
         thread::spawn(move || listener.incoming().flatten().for_each(|socket| watch(socket, &watched)));
@@ -47,7 +51,7 @@
             let Ok(mut told) = beaten.lock() else { return };
             told.watches.retain_mut(|watch| watch.write_all(b"1\r\n\n\r\n").is_ok());
         });
-        Discovery { address, told }
+        Ok(Discovery { address, told })
     }
 
     /// Tells a list or changes, as [`list`] words them.
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -2,10 +2,12 @@
 //! is ordered. `examples/README.md` tells how to try it. Everything stays on the loopback.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::thread::{self, sleep};
 use std::time::Duration;
 
+use juniperrail_standins::{entry, list, Discovery, Worker};
+
 const MANAGER: &str = "127.0.0.1:5000";
 const DISCOVERY: &str = "127.0.0.1:8500";
 const WORKERS: [(&str, &str); 3] =
@@ -13,57 +15,24 @@
 const PERIOD: Duration = Duration::from_secs(2);
 
 fn main() -> std::io::Result<()> {
-    let discovery = TcpListener::bind(DISCOVERY)?;
-    thread::spawn(move || discovery.incoming().flatten().for_each(|watch| spawn(move || list(watch))));
-    for (name, address) in WORKERS {
-        let worker = TcpListener::bind(address)?;
-        spawn(move || worker.incoming().try_for_each(|probe| answer(name, probe?)));
+    let discovery = Discovery::start_at(DISCOVERY)?;
+    for (_, address) in WORKERS {
+        Worker::start(address, "inflight=1,queue=0,util=0.20")?;
     }
     println!("discovery on {DISCOVERY}, waiting for a manager on {MANAGER}");
-    spawn(|| dialled("collector", collect));
+    thread::spawn(move || lists(&discovery));
+    thread::spawn(|| dialled("collector", collect));
     dialled("proxy", proxy)
 }
 
-fn spawn(task: impl FnOnce() -> std::io::Result<()> + Send + 'static) {
-    thread::spawn(move || task().unwrap_or_else(|why| println!("ended: {why}")));
-}
-
-fn entry(name: &str, address: &str, lifecycle: &str) -> String {
-    format!(
-        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"a","machineType":"m1","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
-    )
-}
-
-/// A watch: the whole list, then s-two drains and comes back, over and over, with heartbeats between.
-fn list(mut watch: TcpStream) -> std::io::Result<()> {
-    let mut asked = String::new();
-    BufReader::new(&watch).read_line(&mut asked)?;
-    println!("discovery: {}", asked.trim());
-    watch.write_all(
-        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
-    )?;
-    let mut tell = |line: String| write!(watch, "{:x}\r\n{line}\n\r\n", line.len() + 1);
-    let all = WORKERS.map(|(name, address)| entry(name, address, "ready")).join(",");
-    tell(format!(r#"{{"generation":2,"reset":true,"instances":[{all}]}}"#))?;
+/// The whole list, then s-two drains and comes back, over and over.
+fn lists(discovery: &Discovery) {
+    discovery.tell(&list(2, true, &WORKERS.map(|(name, address)| entry(name, "a", address, "ready"))));
     for (version, lifecycle) in (3..).zip(["draining", "ready"].into_iter().cycle()) {
-        for _ in 0..6 {
-            sleep(PERIOD);
-            tell(String::new())?;
-        }
+        sleep(6 * PERIOD);
         println!("discovery: s-two is {lifecycle}");
-        let change = entry("s-two", WORKERS[1].1, lifecycle);
-        tell(format!(r#"{{"generation":{version},"reset":false,"instances":[{change}]}}"#))?;
+        discovery.tell(&list(version, false, &[entry("s-two", "a", WORKERS[1].1, lifecycle)]));
     }
-    Ok(())
-}
-
-/// A worker, as probes see it.
-fn answer(name: &str, mut probe: TcpStream) -> std::io::Result<()> {
-    let mut asked = String::new();
-    BufReader::new(&probe).read_line(&mut asked)?;
-    println!("{name}: {}", asked.trim());
-    let load = "inflight=1,queue=0,util=0.20";
-    write!(probe, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{load}", load.len())
 }
 
 /// Dials the manager for as long as the program runs, as proxies and collectors do.
