A session over SSH ends with a status and is not disconnected on its last reply

Need: tried with the common SSH client (ssh -s), the reply to close-session was lost and the exit code 255: the server disconnected right after writing it, and that client drops what it has not yet printed.

Change: the channel is closed with exit status 0 and the client left 2 s to go by itself.

Ruled out: replies lost in the server (40 large replies sent at once all arrive either way).

--- a/crates/manager/tests/north.rs
+++ b/crates/manager/tests/north.rs
@@ -524,6 +524,50 @@
     });
 }
 
+/// As the common SSH client: one that exits with what the server says, and drops what it has not yet printed when
+/// it is disconnected first.
+#[test]
+fn a_session_ends_with_a_status_and_is_not_disconnected_on_its_last_reply() {
+    use russh::client::{connect, Config, Handler};
+    use russh::keys::{load_secret_key, PrivateKeyWithHashAlg, PublicKeyOrCertificate};
+
+    struct Anybody;
+    impl Handler for Anybody {
+        type Error = russh::Error;
+
+        async fn check_server_key(&mut self, _: &PublicKeyOrCertificate) -> Result<bool, russh::Error> {
+            Ok(true)
+        }
+    }
+    run(async {
+        let ground = Ground::new("status");
+        let manager = ground.manager(&ground.file("operator.xml", "", ""));
+        let mut ssh = connect(std::sync::Arc::new(Config::default()), manager.ssh, Anybody).await.unwrap();
+        let key = load_secret_key(&ground.keys[1].2.private, None).unwrap();
+        let key = PrivateKeyWithHashAlg::new(std::sync::Arc::new(key), None);
+        assert!(ssh.authenticate_publickey("bob", key).await.unwrap().success());
+        let mut channel = ssh.channel_open_session().await.unwrap();
+        channel.request_subsystem(true, "netconf").await.unwrap();
+        let base = "urn:ietf:params:xml:ns:netconf:base:1.0";
+        let text = format!(
+            "<hello xmlns=\"{base}\"><capabilities><capability>urn:ietf:params:netconf:base:1.0</capability>\
+             </capabilities></hello>]]>]]><rpc message-id=\"1\" xmlns=\"{base}\"><close-session/></rpc>]]>]]>"
+        );
+        channel.data(text.as_bytes()).await.unwrap();
+        channel.eof().await.unwrap();
+        let (mut said, mut status) = (String::new(), None);
+        while let Some(message) = channel.wait().await {
+            match message {
+                russh::ChannelMsg::Data { data } => said += std::str::from_utf8(&data).unwrap(),
+                russh::ChannelMsg::ExitStatus { exit_status } => status = Some(exit_status),
+                _ => {}
+            }
+        }
+        assert!(said.ends_with("message-id=\"1\"><ok/></rpc-reply>]]>]]>"), "{said}");
+        assert_eq!(status, Some(0));
+    });
+}
+
 #[test]
 fn a_client_may_be_dropped_outside_of_its_runtime() {
     let ground = Ground::new("dropped");
--- a/crates/netconf/src/ssh.rs
+++ b/crates/netconf/src/ssh.rs
@@ -10,7 +10,7 @@
 use russh::{Channel, ChannelId, MethodKind, MethodSet};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, OwnedSemaphorePermit};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::service::Shared;
 use crate::session::Limits;
@@ -19,6 +19,8 @@
 /// Bytes of a session that may be on their way unread.
 const WINDOW: u32 = 256 << 10;
 const TRIES: usize = 4;
+/// Who was answered to the last has so long to go.
+const FAREWELL: Duration = Duration::from_secs(2);
 
 pub fn config(key: PrivateKey, limits: Limits) -> Config {
     Config {
@@ -98,7 +100,11 @@
             if let Err(why) = known(stream, shared, &user, &from, limits, &places, place).await {
                 tracing::info!("no session for {user} from {from}: {why}");
             }
+            _ = handle.exit_status_request(id, 0).await;
             _ = handle.close(id).await;
+            // A disconnect goes before what is still to be sent, the last reply among it: the client is left time to
+            // take that and to go by itself.
+            sleep(FAREWELL).await;
             let over = russh::Disconnect::ByApplication;
             _ = handle.disconnect(over, String::new(), String::new()).await;
         });
