A worker that the operator had taken out for long is let back at every proxy

Cause: found by the thousand mixed changes of the lab. A worker that was out for more than two report periods and transits is forgotten by the module and by the plane; brought back, it had another id, the plane knew of no shut-out under it, and as discovery never told a new start nothing made it doubtful: every proxy kept it shut out while its line was in the table.

Change: whoever an operator's change brings is doubtful, so that one back goes with its line to proxies that may have it shut out. Readers may no longer hold a lock, discard or commit nothing.

The plane's story fails without the change. The checker also told drains late: the lab told it of returns after the commit, when proxies held them already; it tells them before now.

--- a/crates/lab/src/changes.rs
+++ b/crates/lab/src/changes.rs
@@ -6,7 +6,7 @@
 
 use juniperrail_client::{Client, Commit, Failed};
 use juniperrail_model::xml::Element;
-use juniperrail_standins::Proxies;
+use juniperrail_standins::{Proxies, Rules};
 
 use crate::report::Report;
 use crate::town::{Size, Town, MANAGER};
@@ -129,6 +129,8 @@
         let mut clients = [town.client(&managers[0]).await, town.client(&managers[1]).await];
         let mut readers = [town.client(&managers[0]).await, town.client(&managers[1]).await];
         let mut wishes = Wishes::new();
+        // Who has to be out, and since when by the clock of each manager's proxies.
+        let mut leaving: BTreeMap<usize, [f64; 2]> = BTreeMap::new();
         for _ in 0..count {
             let (config, after, bad) = drawn(&mut rng, &town, &wishes);
             let (was, will) = (ready(&wishes), ready(&after));
@@ -144,6 +146,11 @@
                 odd
             };
             let asked = proxies.each_ref().map(Proxies::now);
+            // Who comes back may be told to the proxies before the answer to the commit is here.
+            let back: Vec<usize> = will.difference(&was).copied().collect();
+            for proxies in &proxies {
+                proxies.rules(|rules| back.iter().for_each(|worker| rules.returns(&town.worker(*worker))));
+            }
             let (one, other, odd) = tokio::join!(changed(first, &config), changed(second, &config), reading);
             mixed += odd;
             unlike += u32::from(one.is_ok() != other.is_ok());
@@ -161,14 +168,16 @@
                 }
             }
             if one.is_ok() {
-                for (proxies, now) in proxies.iter().zip(asked) {
-                    proxies.rules(|rules| {
-                        left.iter().for_each(|worker| rules.leaves(&town.worker(*worker), now));
-                        will.iter().for_each(|worker| rules.returns(&town.worker(*worker)));
-                    });
-                }
+                left.iter().for_each(|worker| _ = leaving.insert(*worker, asked));
+                back.iter().for_each(|worker| _ = leaving.remove(worker));
                 wishes = after;
             }
+            for (of, proxies) in proxies.iter().enumerate() {
+                let leaves = |rules: &mut Rules| {
+                    leaving.iter().for_each(|(worker, since)| rules.leaves(&town.worker(*worker), since[of]));
+                };
+                proxies.rules(leaves);
+            }
             let expected = ready(&wishes);
             for (of, reader) in readers.iter_mut().enumerate() {
                 let start = Instant::now();
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -240,8 +240,13 @@
         if figures != self.intent.figures(&self.start, &self.operations) {
             self.heard.push(Event::Figures(figures));
         }
-        let event = self.roster.wish(&intent, &mut self.names);
-        event.into_iter().for_each(|event| self.list(event));
+        if let Some(event) = self.roster.wish(&intent, &mut self.names) {
+            if let Event::List { workers, .. } = &event {
+                // Guards against a worker that was out for long, forgotten, and stays shut out as it comes back.
+                workers.iter().for_each(|listed| self.plane.doubt(listed.worker));
+            }
+            self.list(event);
+        }
         self.intent = intent;
     }
 
@@ -831,6 +836,10 @@
             if workers[0].worker == WorkerId(again) && workers[0].phase == Phase::Ready),
             "{heard:?}"
         );
+        assert!(
+            town.0.plane.doubts(WorkerId(again)),
+            "it is shut out under the old id, and has to be let back"
+        );
     }
 
     #[test]
--- a/crates/manager/src/plane.rs
+++ b/crates/manager/src/plane.rs
@@ -71,6 +71,16 @@
         }
     }
 
+    /// A worker that an operator brings back may be shut out wherever it was known by an id that is forgotten.
+    pub fn doubt(&mut self, worker: WorkerId) {
+        self.doubtful.insert(worker);
+    }
+
+    #[cfg(test)]
+    pub fn doubts(&self, worker: WorkerId) -> bool {
+        self.doubtful.contains(&worker)
+    }
+
     /// Nothing names it any more. Should it come again under its name, who was told to shut it out still does
     /// so: such a proxy is then like one whose orders came from elsewhere.
     pub fn forget(&mut self, worker: WorkerId) {
@@ -445,4 +455,13 @@
         });
         assert_eq!(told(&mut plane, &[line(T, 2, 1.0)])[0].1, "push lines=c:1 back=c\r\n");
     }
+
+    #[test]
+    fn whom_an_operator_brings_back_is_let_back_also_where_discovery_never_saw_it_start_anew() {
+        let mut plane = plane(1);
+        told(&mut plane, &[line(T, 0, 1.0), line(T, 1, 1.0), bind(T, 0, 0), hold(1, true), line(T, 1, 0.0)]);
+        plane.forget(WorkerId(1));
+        plane.doubt(WorkerId(2));
+        assert_eq!(told(&mut plane, &[line(T, 2, 1.0)])[0].1, "push lines=c:1 back=c\r\n");
+    }
 }
--- a/crates/manager/tests/north.rs
+++ b/crates/manager/tests/north.rs
@@ -373,6 +373,35 @@
     });
 }
 
+#[test]
+fn a_roll_back_that_would_leave_an_operation_bare_waits_and_says_why() {
+    run(async {
+        let ground = Ground::new("overdue");
+        let manager = ground.manager(&ground.file("operator.xml", "", ""));
+        let proxies = Proxies::start(manager.address, 0, 2, &["a", "b"], rules());
+        proxies.until("tables", |rules| (0..2).all(|proxy| rules.holds(proxy).len() == 4));
+        let mut client = ground.dial(&manager, "ann").await;
+        changed(&mut client, &worker("s-1", "<wanted>draining</wanted>")).await.unwrap();
+        client.edit(&worker("s-1", "<wanted>follow</wanted>")).await.unwrap();
+        let persist = Some("night".to_string());
+        client.commit(&Commit { confirm_within: Some(1), persist, persist_id: None }).await.unwrap();
+        let all = |phase| ["s-2", "s-3", "s-4"].map(|id| entry(id, "a", "127.0.0.1:9", phase));
+        ground.discovery.tell(&list(2, false, &all("draining")));
+        proxies.until("s-1 alone", |rules| (0..2).all(|proxy| rules.holds(proxy).keys().eq(["s-1"])));
+        let versions = |state: &Element| below(state, &["versions"])[0].clone();
+        let mut overdue = String::new();
+        while overdue.is_empty() {
+            overdue = text(&versions(&state(&mut client).await), "overdue").to_string();
+        }
+        assert!(overdue.contains("would have no ready, warm worker"), "{overdue}");
+        assert!(proxies.rules(|rules| (0..2).all(|proxy| rules.holds(proxy).contains_key("s-1"))));
+        ground.discovery.tell(&list(3, false, &all("ready")));
+        proxies.until("taken back", |rules| (0..2).all(|p| rules.holds(p).keys().eq(["s-2", "s-3", "s-4"])));
+        assert_eq!(text(&versions(&state(&mut client).await), "overdue"), "");
+        assert_eq!(proxies.rules(|rules| rules.broken.clone()), []);
+    });
+}
+
 #[test]
 fn only_who_is_known_comes_in_and_each_does_what_the_role_allows() {
     run(async {
@@ -427,6 +456,15 @@
         let refusal = &failed.refusals()[0];
         assert_eq!(refusal.tag, "access-denied");
         assert_eq!(refusal.path.as_deref(), Some("/jrm:workers/worker[name='s-1']/weight"));
+        for refused in
+            [eve.lock(Store::Running).await, eve.discard().await, eve.commit(&Commit::default()).await]
+        {
+            assert_eq!(
+                refused.unwrap_err().refusals()[0].tag,
+                "access-denied",
+                "nor does a reader hold others up"
+            );
+        }
         let raise = format!(
             "<northbound xmlns=\"{MANAGER}\"><user><name>bob</name><role>admin</role></user></northbound>"
         );
--- a/crates/north/src/keeper.rs
+++ b/crates/north/src/keeper.rs
@@ -419,8 +419,18 @@
         self.put(&mut inner, caller, target, Data::default())
     }
 
+    /// Guards against somebody who may change nothing and keeps others from it all the same.
+    fn writer(inner: &Inner, caller: &Caller, what: &str) -> Result<(), Refused> {
+        match inner.access.role(&caller.user) {
+            Some(Role::Operator | Role::Admin) => Ok(()),
+            Some(Role::Reader) | None => Err(Refused::Denied(what.into())),
+        }
+    }
+
     pub async fn lock(&self, caller: &Caller, store: Store) -> Result<(), Refused> {
-        self.0.inner.lock().await.stores.lock(store, caller.session)
+        let mut inner = self.0.inner.lock().await;
+        Keeper::writer(&inner, caller, "a lock")?;
+        inner.stores.lock(store, caller.session)
     }
 
     pub async fn unlock(&self, caller: &Caller, store: Store) -> Result<(), Refused> {
@@ -429,9 +439,7 @@
 
     pub async fn discard(&self, caller: &Caller) -> Result<(), Refused> {
         let mut inner = self.0.inner.lock().await;
-        if inner.access.role(&caller.user) == Some(Role::Reader) {
-            return Err(Refused::Denied("the candidate".into()));
-        }
+        Keeper::writer(&inner, caller, "the candidate")?;
         inner.stores.discard(caller.session)
     }
 
@@ -449,9 +457,7 @@
     pub async fn commit(&self, caller: &Caller, commit: Commit) -> Result<Concluded, Refused> {
         let mut inner = self.0.inner.lock().await;
         let (confirmed, waited) = (commit.confirmed, inner.stores.waits().is_some());
-        if inner.access.role(&caller.user) == Some(Role::Reader) {
-            return Err(Refused::Denied("running".into()));
-        }
+        Keeper::writer(&inner, caller, "running")?;
         let proposal = inner.stores.propose(caller.session, &caller.user, commit)?;
         // Edits of others may stand in the candidate: who commits answers for all of it.
         self.allowed(&inner, caller, inner.stores.get(Store::Running), &proposal.data)?;
@@ -465,6 +471,7 @@
     /// Takes back a confirmed commit that waits.
     pub async fn cancel(&self, caller: &Caller, persist_id: Option<&str>) -> Result<(), Refused> {
         let mut inner = self.0.inner.lock().await;
+        Keeper::writer(&inner, caller, "running")?;
         let proposal = inner.stores.cancel(caller.session, persist_id)?;
         self.settle(&mut inner, Some(caller.session), proposal).await?;
         self.tell(Told::Confirmed { how: "cancel" });
