--- a/crates/netconf/src/ssh.rs
+++ b/crates/netconf/src/ssh.rs
@@ -158,6 +158,8 @@
     };
     match end {
         Ok(()) | Err(russh::Error::Disconnect | russh::Error::HUP) => Ok(()),
+        // Common clients just hang up after their last reply.
+        Err(russh::Error::IO(why)) if why.kind() == std::io::ErrorKind::UnexpectedEof => Ok(()),
         Err(why) => Err(why.to_string()),
     }
 }
