A change is told before it is told to be held; two circles of files broken

The notice now takes the keeper's lock, which whoever makes a change running has until that is told.

--- a/crates/manager/tests/north.rs
+++ b/crates/manager/tests/north.rs
@@ -606,6 +606,43 @@
     });
 }
 
+#[test]
+fn who_stalls_in_a_message_or_never_says_hello_gives_the_place_back() {
+    run(async {
+        let ground = Ground::new("stalls");
+        let file = ground.file("operator.xml", "", "");
+        let limits =
+            "<netconf><sessions>2</sessions><hello-within>500</hello-within><idle-within>500</idle-within>";
+        fs::write(&file, fs::read_to_string(&file).unwrap().replace("<netconf>", limits)).unwrap();
+        let manager = ground.manager(&file);
+        let strangers: Vec<std::net::TcpStream> =
+            (0..4).map(|_| std::net::TcpStream::connect(manager.ssh).unwrap()).collect();
+        // One place is for strangers here: it comes free as the first says nothing.
+        let dialled = async {
+            loop {
+                if let Ok(client) = Client::dial(&ground.ssh(&manager, "bob")).await {
+                    return client;
+                }
+            }
+        };
+        let mut first = dialled.await;
+        let mut second = ground.dial(&manager, "ann").await;
+        first.send_raw(b"\n#1000\n<rpc").await.unwrap();
+        second.send_raw(b"\n#").await.unwrap();
+        for client in [&mut first, &mut second] {
+            let end = timeout(WITHIN, client.reply()).await.expect("an end");
+            assert!(matches!(end.unwrap_err().reason, Reason::Lost(_)));
+        }
+        loop {
+            if let Ok(mut again) = Client::dial(&ground.ssh(&manager, "ann")).await {
+                assert!(again.get_config(Store::Running, None).await.is_ok());
+                break;
+            }
+        }
+        drop(strangers);
+    });
+}
+
 #[test]
 fn a_client_may_be_dropped_outside_of_its_runtime() {
     let ground = Ground::new("dropped");
--- a/crates/model/src/data.rs
+++ b/crates/model/src/data.rs
@@ -160,6 +160,44 @@
         Data(self.0.iter().filter(|(id, _)| keep(**id)).map(|(id, of)| (*id, of.clone())).collect())
     }
 
+    /// What of it lies at a path, as a tree from the top; nothing where nothing is there.
+    pub fn cut(&self, schema: &Schema, path: &Path) -> Data {
+        fn below(schema: &Schema, steps: &[Step], data: &Data) -> Data {
+            let Some((step, rest)) = steps.split_first() else { return data.clone() };
+            let mut cut = Data::default();
+            match data.get(step.node) {
+                Some(Content::Inner(inner)) => {
+                    let inner = below(schema, rest, inner);
+                    let presence = matches!(schema.node(step.node).kind, Kind::Container { presence: true });
+                    if !inner.is_empty() || presence && rest.is_empty() {
+                        cut.set(step.node, Content::Inner(inner));
+                    }
+                }
+                Some(Content::List(entries)) => {
+                    for (keys, entry) in
+                        entries.iter().filter(|(keys, _)| step.keys.is_empty() || **keys == step.keys)
+                    {
+                        let inner = below(schema, rest, entry);
+                        if !inner.is_empty() {
+                            // Its keys say which entry it is.
+                            let kept = cut.entry(schema, step.node, keys);
+                            *kept = std::mem::take(kept).joined(inner);
+                        }
+                    }
+                }
+                Some(Content::Leaves(values)) if !step.keys.is_empty() => {
+                    if let Some(value) = values.get(&step.keys[0]) {
+                        cut.leaves(step.node).insert(value.clone());
+                    }
+                }
+                Some(content) if rest.is_empty() => cut.set(step.node, content.clone()),
+                _ => {}
+            }
+            cut
+        }
+        below(schema, &path.0, self)
+    }
+
     /// Both together, of which no node stands in both.
     pub fn joined(mut self, other: Data) -> Data {
         self.0.extend(other.0);
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -255,7 +255,7 @@
 #[test]
 fn a_path_cuts_out_what_lies_there_with_its_keys() {
     let (schema, data) = (schema(), file(FILE));
-    let cut = |path: &str| xml::to_file(&schema, &Path::read(&schema, path).unwrap().cut(&schema, &data));
+    let cut = |path: &str| xml::to_file(&schema, &data.cut(&schema, &Path::read(&schema, path).unwrap()));
     let weight = cut("/workers/worker[name='s-2']/weight");
     assert!(
         weight.contains("<name>s-2</name>") && weight.contains("0.5") && !weight.contains("s-1"),
@@ -265,7 +265,7 @@
     assert!(all.contains("s-1") && !all.contains("s-2"), "only where it is: {all}");
     assert!(cut("/workers/worker[name='s-9']")
         .contains("<config xmlns=\"urn:ietf:params:xml:ns:netconf:base:1.0\"/>"));
-    assert_eq!(Path::default().cut(&schema, &data), data);
+    assert_eq!(data.cut(&schema, &Path::default()), data);
 }
 
 #[test]
--- a/crates/netconf/src/lib.rs
+++ b/crates/netconf/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod filter;
 mod names;
 mod notify;
+mod places;
 mod service;
 mod session;
 mod ssh;
--- a/crates/netconf/src/ssh.rs
+++ b/crates/netconf/src/ssh.rs
@@ -12,9 +12,9 @@
 use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout};
 
+use crate::places::{known, Places};
 use crate::service::Shared;
 use crate::session::Limits;
-use crate::transport::{known, Places};
 
 /// Bytes of a session that may be on their way unread.
 const WINDOW: u32 = 256 << 10;
--- a/crates/netconf/src/transport.rs
+++ b/crates/netconf/src/transport.rs
@@ -13,15 +13,15 @@
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use rustls::server::WebPkiClientVerifier;
 use rustls::RootCertStore;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout};
 use tracing::Instrument;
 use x509_parser::extensions::GeneralName;
 
+use crate::places::{known, Places};
 use crate::service::Shared;
-use crate::session::{serve, Limits};
+use crate::session::Limits;
 use crate::ssh;
 
 /// After a fault in accepting, so long until the next try.
@@ -123,28 +123,6 @@
     }
 }
 
-/// How many may be here: those whom nobody knows yet have places of their own, so that they take no session's.
-#[derive(Clone)]
-pub struct Places {
-    strangers: Arc<Semaphore>,
-    sessions: Arc<Semaphore>,
-}
-
-impl Places {
-    fn new(sessions: usize) -> Places {
-        let strangers = (sessions / 2).clamp(1, 32);
-        Places {
-            strangers: Arc::new(Semaphore::new(strangers)),
-            sessions: Arc::new(Semaphore::new(sessions)),
-        }
-    }
-
-    /// A place for a session, if there is one left.
-    pub fn session(&self) -> Option<OwnedSemaphorePermit> {
-        self.sessions.clone().try_acquire_owned().ok()
-    }
-}
-
 /// Takes connections for good; one with no place left ends at once. A panic in one ends it alone.
 async fn accept<F>(
     listener: StdListener,
@@ -167,7 +145,7 @@
                 continue;
             }
         };
-        let Ok(place) = places.strangers.clone().try_acquire_owned() else {
+        let Some(place) = places.stranger() else {
             turned_away += 1;
             // A storm of them is one line for the first, the second, the fourth, the eighth ...
             if turned_away.is_power_of_two() {
@@ -263,19 +241,3 @@
     let user = user_of(&access.borrow(), chain)?;
     known(stream, shared, &user, &format!("tls {from}"), limits, &places, place).await
 }
-
-/// Somebody who is known by now: the stranger's place goes, a session's is taken.
-pub async fn known(
-    stream: impl AsyncRead + AsyncWrite + Unpin,
-    shared: Arc<Shared>,
-    user: &str,
-    from: &str,
-    limits: Limits,
-    places: &Places,
-    place: OwnedSemaphorePermit,
-) -> Result<(), String> {
-    let _session = places.session().ok_or("there are as many sessions as may be")?;
-    drop(place);
-    serve(stream, shared, user, from, limits).await;
-    Ok(())
-}
--- a/crates/north/src/keeper.rs
+++ b/crates/north/src/keeper.rs
@@ -161,7 +161,12 @@
                 () = timer => self.roll_back().await,
                 () = self.0.rescheduled.notified() => {}
                 notice = notices.recv() => match notice {
-                    Some(Notice::Held { number, after }) => self.tell(Told::Held { number, after }),
+                    Some(Notice::Held { number, after }) => {
+                        // Guards against telling that a change is held before that there is one: who makes it running
+                        // has this lock until that is told.
+                        let _running = self.0.inner.lock().await;
+                        self.tell(Told::Held { number, after });
+                    }
                     None => return,
                 },
             }
