Replies that wait for slow peers hold no more than their bytes

Need: memory of busy sessions (77 MiB at most with 64 of them) was looked into.

Change: a reply's text gives back what its growth had over.

--- a/crates/model/src/xml.rs
+++ b/crates/model/src/xml.rs
@@ -262,6 +262,8 @@
 pub fn write(element: &Element, indent: bool) -> String {
     let mut text = String::new();
     put(&mut text, element, "", indent.then_some(0));
+    // It may wait long for a peer that reads slowly; growing left it up to twice as large.
+    text.shrink_to_fit();
     text
 }
 
