Spans of the proxies' and collectors' connections are made at debug

What differs from play to play is whether and when a cut falls. Ruled out: processor, memory, descriptors, the module's text.

Change: a connection's span is made at debug, so that entering it at each poll costs nothing by default.

--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -82,7 +82,8 @@
     life: impl Future<Output = Result<(), Fault>> + 'static,
     doors: Rc<Doors>,
 ) {
-    let connection = tracing::info_span!("connection", %from, stream = id.0);
+    // At debug, so that a stream pays nothing for it in an ordinary day.
+    let connection = tracing::debug_span!("connection", %from, stream = id.0);
     let why = match spawn_local(life.instrument(connection)).await {
         Ok(Ok(())) => None,
         Ok(Err(fault)) => Some(format!("{from}: {fault}")),
