--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -60,11 +60,9 @@
 }
 
 impl Bound {
-    /// Listens for other managers. The error is one line: the thing, the place, the way out.
-    pub fn new(setting: Setting) -> Result<Bound, String> {
-        let listener = TcpListener::bind(setting.listen)
-            .map_err(|why| format!("{} cannot be listened on for other managers: {why}", setting.listen))?;
-        Ok(Bound { setting, listener })
+    /// Other managers come to this listener.
+    pub fn new(setting: Setting, listener: TcpListener) -> Bound {
+        Bound { setting, listener }
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use juniperrail::Brain;
 use juniperrail_fleet::{Common, Parts};
 use juniperrail_intent::{judge, Change, Composed, Intent, Progress, World};
@@ -21,7 +20,7 @@
 use crate::clock::Clock;
 use crate::fleet::{self, Witness};
 use crate::launch::Launch;
-use crate::news::{Hello, News, StreamId};
+use crate::news::{Hello, News, Outbox, StreamId};
 use crate::places::Zones;
 use crate::plane::{Parcel, Plane};
 use crate::presence::{Lapse, Presence, Stream};
@@ -67,6 +66,9 @@
     wakes: Vec<(Ms, String)>,
     heard: Vec<Event>,
     tally: Tally,
+    /// What is added to the module's marks as they go out, and the last that did. Guards against answers to marks of a
+    /// module that failed: the next one counts from the start again.
+    marks: (u16, u16),
     /// Who leaves and since when that was told, for as long as it may be owed.
     leaving: BTreeMap<WorkerId, Ms>,
     probes: Probes,
@@ -109,6 +111,7 @@
             wakes: Vec::new(),
             heard: Vec::new(),
             tally: Tally::default(),
+            marks: (0, 0),
             leaving: BTreeMap::new(),
             probes,
             news: news.downgrade(),
@@ -384,9 +387,14 @@
         }
     }
 
-    fn join(&mut self, id: StreamId, hello: Hello, orders: mpsc::Sender<Bytes>) {
+    fn join(&mut self, id: StreamId, hello: Hello, orders: Outbox) {
         let Hello { proxy, zone, inv_per_second, fresh } = hello;
         let (proxy, zone) = (ProxyId(proxy), self.names.zone(&zone));
+        // Guards against a connection that a proxy gave up, whose introduction comes late: the later one counts.
+        if self.presence.streams.get(&proxy).is_some_and(|stream| stream.id > id) {
+            let why = format!("proxy {} joined over a later connection already", proxy.0);
+            return self.tally.odd.add(why);
+        }
         // A new stream may come before the old one is seen to end; what that still brings changes nothing.
         self.leave(proxy);
         let stream = Stream::new(id, orders, zone, inv_per_second, self.clock.now());
@@ -481,7 +489,7 @@
                     return Err(format!("an answer of proxy {} on another's stream", proxy.0));
                 }
                 self.presence.answered(self.clock.now(), proxy, mark)?;
-                Ok(Event::Answered { mark, took, proxy })
+                Ok(Event::Answered { mark: MarkId(mark.0.wrapping_sub(self.marks.0)), took, proxy })
             }
         }
     }
@@ -500,7 +508,13 @@
             self.strains(now).iter().for_each(|strain| tracing::warn!("{strain}"));
         }
         let turn = AssertUnwindSafe(|| {
-            let orders = decide(&mut self.brain, now, &heard);
+            let mut orders = decide(&mut self.brain, now, &heard);
+            for order in &mut orders {
+                if let Order::Mark { number, .. } = order {
+                    number.0 = number.0.wrapping_add(self.marks.0);
+                    self.marks.1 = number.0;
+                }
+            }
             (self.plane.messages(&orders, &self.names), orders)
         });
         match catch_unwind(turn) {
@@ -540,6 +554,7 @@
     fn restart(&mut self, now: Ms) {
         tracing::error!("the decisions failed and start anew with {} proxies", self.presence.streams.len());
         self.brain = Brain::new(now, self.rng.u64(..), self.start.clone());
+        self.marks.0 = self.marks.1;
         self.plane.restart();
         self.wakes.clear();
         self.heard.push(self.roster.remembered());
@@ -624,6 +639,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use bytes::Bytes;
     use juniperrail_intent::{Intent, Wanted, Wish};
     use tokio::sync::oneshot;
 
@@ -646,7 +662,7 @@
 
         /// Another stream of the one proxy; its number is its place.
         fn join(&mut self, fresh: bool) -> StreamId {
-            let (orders, told) = mpsc::channel(64);
+            let (orders, told, _) = Outbox::new(64);
             let stream = StreamId(self.1.len() as u64);
             self.1.push(told);
             let hello = Hello { proxy: 2, zone: "a".into(), inv_per_second: 5.0, fresh };
@@ -697,6 +713,29 @@
         assert!(town.told(stream).contains("whole=1 lines=s-1:1"), "it is bound again over the same stream");
     }
 
+    #[test]
+    fn an_answer_to_decisions_that_failed_is_none_to_those_that_start_anew() {
+        let mut town = Town::new();
+        let stream = town.join(true);
+        town.turn();
+        assert!(town.told(stream).contains("ticket=1\r\n"));
+        town.0.turn_by(|_, _, _| panic!("out of range"));
+        town.turn();
+        town.turn();
+        let again = town.told(stream);
+        assert!(again.contains("whole=1"), "{again}");
+        assert!(again.contains("ticket=2\r\n") && again.contains("ticket=3\r\n"), "{again}");
+        // Held back by the proxy till now: it says nothing of the table sent since.
+        town.ack(stream, 1);
+        assert!(town.0.heard.is_empty() && town.0.presence.streams[&ProxyId(2)].owed.len() == 2);
+        town.ack(stream, 3);
+        assert!(
+            matches!(town.0.heard[..], [Event::Answered { mark: MarkId(2), .. }]),
+            "the module counts from the start: {:?}",
+            town.0.heard
+        );
+    }
+
     #[test]
     fn who_owes_an_answer_and_is_silent_has_left_until_it_speaks_again() {
         let mut town = Town::new();
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -3,20 +3,25 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at, Instant};
 use tower::ServiceExt;
 
 use crate::fault::Fault;
 use crate::http;
+use crate::lines::LineBuffer;
 use crate::listing::Listing;
 use crate::news::News;
 
 /// An empty line comes this often while nothing changes.
 const HEARTBEAT: Duration = Duration::from_secs(2);
+/// A watch that ends no line for so long is silent.
+const SILENCE: Duration = HEARTBEAT.saturating_mul(2);
+/// Whatever discovery has to tell counts as told at the latest so long after, by the protocol: an agent that is further
+/// behind will not come up with what is held.
+const BEHIND: Duration = Duration::from_secs(6);
 /// A longer line is no list.
 const LONGEST: usize = 16 << 20;
 
@@ -30,6 +35,8 @@
 pub struct Watch {
     /// The version held; without one the whole list is asked for.
     pub held: Option<u64>,
+    /// Since when it has told older lists than the one held.
+    pub behind: Option<Instant>,
     pub rng: fastrand::Rng,
     pub news: mpsc::Sender<News>,
 }
@@ -38,7 +45,7 @@
     /// Follows the list for good; a watch that breaks, or whose discovery moves, is dialled again with what
     /// is held.
     pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>, afresh: &Notify) {
-        let exchange = http::exchange(HEARTBEAT, 2 * HEARTBEAT);
+        let exchange = http::exchange(HEARTBEAT, SILENCE);
         let mut failures = 0;
         loop {
             let (before, address) = (self.held, *discovery.borrow_and_update());
@@ -78,35 +85,56 @@
         };
         let from = self.held.map(|held| format!(" from {held} on")).unwrap_or_default();
         tracing::info!("watching the list at {discovery}{from}");
-        let mut text = BytesMut::new();
+        let (mut lines, mut silent_at) = (LineBuffer::default(), Instant::now() + SILENCE);
         loop {
-            // Guards against a watch that is silent for good: heartbeats stop, nothing is reset.
-            match timeout(2 * HEARTBEAT, body.frame()).await {
+            // Guards against a watch that is silent for good, or that brings bytes without ever ending a line.
+            match timeout_at(silent_at, body.frame()).await {
                 Err(_) => return Fault { late: true, ..Fault::reading("the watch is silent") },
                 Ok(None) => return Fault::reading("the watch ended"),
                 Ok(Some(Err(cause))) => return Fault::reading(cause.to_string()),
-                Ok(Some(Ok(frame))) => text.extend(frame.into_data().ok()),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    lines.space(data.len()).extend_from_slice(&data);
+                }
             }
             // Chunks split and join lines as they like.
-            while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
-                let line = text.split_to(end + 1);
-                if line.trim_ascii().is_empty() {
-                    continue;
+            while let Some(line) = lines.next() {
+                if let Err(fault) = self.take(line.trim_ascii()).await {
+                    return fault;
+                }
+                silent_at = Instant::now() + SILENCE;
+            }
+            if lines.unfinished().len() > LONGEST {
+                return Fault::reading("a line of the watch is overlong");
+            }
+        }
+    }
+
+    /// One line of a watch: a list, changes of it, or nothing, which shows that the watch lives.
+    async fn take(&mut self, line: &[u8]) -> Result<(), Fault> {
+        if !line.is_empty() {
+            let listing: Listing =
+                serde_json::from_slice(line).map_err(|cause| Fault::reading(format!("no list: {cause}")))?;
+            let version = listing.version;
+            // Guards against an agent that is behind, as after a move: by its list, who left since would be back.
+            if let Some(held) = self.held.filter(|held| version < *held) {
+                if self.behind.is_none() {
+                    tracing::warn!("list {version} is older than {held}, which is held: it is passed over");
                 }
-                let listing: Listing = match serde_json::from_slice(&line) {
-                    Ok(listing) => listing,
-                    Err(cause) => return Fault::reading(format!("no list: {cause}")),
-                };
-                let version = listing.version;
+                self.behind.get_or_insert_with(Instant::now);
+            } else {
                 if self.news.send(News::Listing(listing)).await.is_err() {
-                    return Fault::reading("nobody wants the list any more");
+                    return Err(Fault::reading("nobody wants the list any more"));
                 }
                 // Only now: a watch given up while it waits to tell would count as told what nobody heard.
-                self.held = Some(version);
-            }
-            if text.len() > LONGEST {
-                return Fault::reading("a line of the watch is overlong");
+                (self.held, self.behind) = (Some(version), None);
             }
         }
+        // Guards against discovery that counts anew: its lists would be passed over for good.
+        if self.behind.take_if(|since| since.elapsed() >= BEHIND).is_some() {
+            self.held = None;
+            return Err(Fault::reading("its lists stay older than the one held; the whole is asked for"));
+        }
+        Ok(())
     }
 }
--- a/crates/manager/src/launch.rs
+++ b/crates/manager/src/launch.rs
@@ -42,6 +42,9 @@
     pub fleet: Option<juniperrail_fleet::Setting>,
 }
 
+/// No span in the settings is longer, in ms: a day.
+const LONGEST: f64 = 86_400_000.0;
+
 const DISCOVERY: &str = "PROXY_DISCOVERY";
 
 /// What stays for as long as a manager runs.
@@ -134,9 +137,13 @@
         };
         let (start, names) = juniperrail_start::decode(&file.settings)?;
         let span = |path: &str| match juniperrail_start::number(&file.settings, path)? {
-            span if span >= 0.0 && span.is_finite() => Ok(Duration::from_secs_f64(span / 1000.0)),
-            span => Err(format!("the setting {path} is no span: {span}")),
+            span if span <= LONGEST => Duration::try_from_secs_f64(span / 1000.0)
+                .map_err(|why| format!("the setting {path} is no span: {span:?}: {why}")),
+            span => Err(format!("the setting {path} is no span: {span:?} is over {LONGEST} ms")),
         };
+        if let Some(odd) = start.operations.iter().map(|op| op.latency_objective).find(|of| *of < 0.0) {
+            return Err(format!("a latency objective is no span: {odd:?}"));
+        }
         let zones = start.zones.iter().map(|zone| names.zones.name(zone.0.into()).to_string()).collect();
         let fixed = Fixed {
             name: told("PROXY_NAME").or(file.name).ok_or("PROXY_NAME is told nowhere")?,
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -18,6 +18,8 @@
 mod fleet;
 mod http;
 mod launch;
+mod lines;
+mod listening;
 mod listing;
 mod news;
 mod north;
@@ -48,6 +50,9 @@
 /// News that may wait for the next turn; who brings more has to wait.
 const INBOX: usize = 4096;
 
+/// Connections that may wait to be taken, at least: as many as the system's own listeners have.
+const LEAST_BACKLOG: u32 = 1024;
+
 /// A manager that listens already and serves once it is asked to, on a runtime of one thread.
 pub struct Manager {
     launch: Launch,
@@ -77,12 +82,18 @@
     pub async fn bind(mut launch: Launch) -> Result<Manager, String> {
         let listen = launch.fixed.listen;
         let failed = |why| format!("{listen} cannot be listened on: {why}");
-        let listener = TcpListener::bind(listen).await.map_err(failed)?;
+        // Guards against proxies that all come at once, as after a manager's death, while a turn is under way: who finds
+        // no room waits a second before it knocks again.
+        let backlog = (launch.fixed.start.proxies as u32).max(LEAST_BACKLOG);
+        let listener = listening::listen(listen, backlog).await.map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         let reloader = Reloader::new(&launch);
         let north = north::Northbound::bind(&launch)?;
         let fleet = launch.operator.as_mut().and_then(|operator| operator.fleet.take());
-        let fleet = fleet.map(joined).transpose()?.map(Arc::new);
+        let fleet = match fleet {
+            Some(setting) => Some(Arc::new(joined(setting).await?)),
+            None => None,
+        };
         Ok(Manager { launch, listener, address, reloader, north, fleet })
     }
 
@@ -121,6 +132,7 @@
         let probes = probes::probes(fixed.dial_within, answer_within, budget.probes);
         let watch = discovery::Watch {
             held: launch.known.as_ref().map(|known| known.version),
+            behind: None,
             rng: fastrand::Rng::with_seed(launch.seed),
             news: news.clone(),
         };
@@ -153,8 +165,12 @@
 }
 
 /// Takes part in what is decided in common.
-fn joined(setting: Setting) -> Result<Fleet, String> {
-    let bound = Bound::new(setting)?;
+async fn joined(setting: Setting) -> Result<Fleet, String> {
+    let at = setting.listen;
+    // What was led in common is handed over while this address is still held.
+    let listener = listening::listen(at, LEAST_BACKLOG).await.and_then(TcpListener::into_std);
+    let listener = listener.map_err(|why| format!("{at} cannot be listened on for other managers: {why}"))?;
+    let bound = Bound::new(setting, listener);
     let address = bound.address().map(|at| at.to_string()).unwrap_or_default();
     tracing::info!("fleet: links of other managers come to {address}");
     bound.start()
--- a/crates/manager/src/logs.rs
+++ b/crates/manager/src/logs.rs
@@ -42,7 +42,9 @@
 /// From here on everything is logged, once in a program.
 pub fn start(form: Form) {
     let filter = EnvFilter::builder().with_default_directive(LevelFilter::INFO.into()).from_env_lossy();
+    // Guards against whoever reads the log going away: the complaint about that would go the same way, and end the program.
     let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let lines = lines.log_internal_errors(false);
     match form {
         Form::Text => lines.event_format(Line).init(),
         Form::Json => lines.json().flatten_event(true).with_current_span(true).with_span_list(false).init(),
--- a/crates/manager/src/news.rs
+++ b/crates/manager/src/news.rs
@@ -1,8 +1,10 @@
 //! What comes in to the decisions, from whichever connection.
 
+use std::convert::Infallible;
+
 use bytes::Bytes;
 use juniperrail_interface::{ProxyId, WorkerId};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::listing::Listing;
 use crate::probes::Found;
@@ -17,7 +19,7 @@
     Joined {
         stream: StreamId,
         hello: Hello,
-        orders: mpsc::Sender<Bytes>,
+        orders: Outbox,
     },
     /// A connection of whatever kind is over, and why if not by itself.
     Ended(StreamId, Option<String>),
@@ -28,6 +30,25 @@
     TurnedAway(String),
 }
 
+/// The way to a proxy. Once it is dropped, the connection ends at once, whatever is still on its way.
+pub struct Outbox {
+    messages: mpsc::Sender<Bytes>,
+    _open: oneshot::Sender<Infallible>,
+}
+
+impl Outbox {
+    /// With room for so many messages: itself, what is put in, and its end.
+    pub fn new(room: usize) -> (Outbox, mpsc::Receiver<Bytes>, oneshot::Receiver<Infallible>) {
+        let ((messages, put), (_open, end)) = (mpsc::channel(room), oneshot::channel());
+        (Outbox { messages, _open }, put, end)
+    }
+
+    /// False if there is no room.
+    pub fn put(&self, message: Bytes) -> bool {
+        !matches!(self.messages.try_send(message), Err(mpsc::error::TrySendError::Full(_)))
+    }
+}
+
 pub struct Hello {
     pub proxy: u16,
     pub zone: String,
--- a/crates/manager/src/places.rs
+++ b/crates/manager/src/places.rs
@@ -83,8 +83,11 @@
         out
     }
 
-    pub fn leave(&self, id: StreamId) {
-        self.taken.borrow_mut().retain(|(taken, _)| *taken != id);
+    /// False if it had no place any more: it was told to go.
+    pub fn leave(&self, id: StreamId) -> bool {
+        let mut taken = self.taken.borrow_mut();
+        let place = taken.iter().position(|(taken, _)| *taken == id);
+        place.is_some_and(|place| taken.remove(place).is_some())
     }
 
     pub fn spoke(&self, id: StreamId) {
--- a/crates/manager/src/presence.rs
+++ b/crates/manager/src/presence.rs
@@ -2,11 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use crate::news::{Outbox, StreamId};
 use bytes::Bytes;
 use juniperrail_interface::{MarkId, Ms, ProxyId, ZoneId};
-use tokio::sync::mpsc;
-
-use crate::news::StreamId;
 
 /// Messages to one proxy that are counted over the settings' span; no limit that we know is near this.
 const COUNTED: usize = 1024;
@@ -20,7 +18,7 @@
 
 pub struct Stream {
     pub id: StreamId,
-    pub orders: mpsc::Sender<Bytes>,
+    pub orders: Outbox,
     pub zone: ZoneId,
     pub inv_per_second: f64,
     /// Marks sent that it has not answered, oldest first, and when something last came from it.
@@ -37,13 +35,7 @@
 }
 
 impl Stream {
-    pub fn new(
-        id: StreamId,
-        orders: mpsc::Sender<Bytes>,
-        zone: ZoneId,
-        inv_per_second: f64,
-        now: Ms,
-    ) -> Stream {
+    pub fn new(id: StreamId, orders: Outbox, zone: ZoneId, inv_per_second: f64, now: Ms) -> Stream {
         let (owed, messages, due) = Default::default();
         let (silent, sent, answered) = (None, None, None);
         Stream { id, orders, zone, inv_per_second, owed, spoke: now, due, silent, sent, answered, messages }
@@ -64,7 +56,7 @@
             self.messages.pop_front();
         }
         self.messages.push_back(now);
-        !matches!(self.orders.try_send(bytes), Err(mpsc::error::TrySendError::Full(_)))
+        self.orders.put(bytes)
     }
 }
 
@@ -218,12 +210,12 @@
     const PATIENCE: Patience = Patience { answer: 3000.0, queue: 12_000.0 };
 
     /// Three proxies that were each sent the mark of an own turn, in this order, at once.
-    fn started() -> (Presence, Vec<mpsc::Receiver<Bytes>>) {
+    fn started() -> (Presence, Vec<impl Sized>) {
         let mut presence = Presence::new(PATIENCE);
         let mut ends = Vec::new();
         for proxy in 0..3 {
-            let (orders, told) = mpsc::channel(8);
-            ends.push(told);
+            let (orders, told, end) = Outbox::new(8);
+            ends.push((told, end));
             let stream = Stream::new(StreamId(proxy.into()), orders, ZoneId(0), 1.0, 0.0);
             presence.streams.insert(ProxyId(proxy), stream);
             presence.next_turn();
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -1,6 +1,7 @@
 //! Where proxies and collectors connect: accepting, and the life of each connection.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,13 +12,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
 use tracing::Instrument;
 
 use crate::fault::{Fault, Reached};
-use crate::news::{Hello, News, StreamId};
+use crate::lines::LineBuffer;
+use crate::news::{Hello, News, Outbox, StreamId};
 use crate::places::{Places, Zones};
 use crate::text::{self, Flaw, Message};
 
@@ -110,8 +112,7 @@
     };
     doors.open.set(doors.open.get() - 1);
     tracing::debug!("the connection from {from} ended: {why:?}");
-    doors.strangers.leave(id);
-    doors.collectors.leave(id);
+    _ = doors.strangers.leave(id) || doors.collectors.leave(id);
     _ = doors.news.send(News::Ended(id, why)).await;
 }
 
@@ -119,7 +120,7 @@
 async fn life(id: StreamId, socket: TcpStream, put_out: Rc<Notify>, doors: Rc<Doors>) -> Result<(), Fault> {
     socket.set_nodelay(true).map_err(Fault::io(Reached::Dialling))?;
     let (read, mut write) = socket.into_split();
-    let mut lines = Lines { read, text: BytesMut::new(), seen: 0 };
+    let mut lines = Lines { read, buffer: LineBuffer::default(), checked: 0 };
     let first = tokio::select! {
         biased;
         first = introduction(&mut lines, &mut write, &doors) => first,
@@ -138,7 +139,11 @@
             return Ok(());
         }
     };
-    doors.strangers.leave(id);
+    // Guards against more connections than there may be: whoever was told to go has given its descriptor to
+    // another, also where its introduction came at that very moment.
+    if !doors.strangers.leave(id) {
+        return Ok(());
+    }
     match first {
         Message::Hello { proxy, zone, inv_per_second, fresh } => {
             let hello = Hello { proxy, zone, inv_per_second, fresh };
@@ -190,8 +195,8 @@
     _ = timeout(JOIN_WITHIN, async {
         let mut left = FAREWELL;
         while left > 0 {
-            lines.text.clear();
-            match lines.read.read_buf(&mut lines.text).await {
+            lines.buffer.clear();
+            match lines.read.read_buf(lines.buffer.space(ROOM)).await {
                 Ok(0) | Err(_) => return,
                 Ok(read) => left = left.saturating_sub(read),
             }
@@ -209,26 +214,45 @@
     doors: Rc<Doors>,
 ) -> Result<(), Fault> {
     let from = Some((id, ProxyId(hello.proxy)));
-    let (orders, mut waiting) = mpsc::channel(WAITING);
-    let answers = orders.downgrade();
+    let (orders, mut waiting, given_up) = Outbox::new(WAITING);
+    // Beside the orders, so that a burst of probes takes no order's place.
+    let (probed, mut probes) = mpsc::channel(WAITING);
     _ = doors.news.send(News::Joined { stream: id, hello, orders }).await;
     let reading = async {
         while let Some(line) = lines.next(text::LONGEST).await? {
             match heard(&line, from)? {
                 Some(news) => _ = doors.news.send(news).await,
-                None => _ = answers.upgrade().map(|orders| orders.try_send(text::ALIVE)),
+                // Who asks faster than it reads the answers waits with its next lines.
+                None => _ = probed.send(()).await,
             }
         }
         Ok(())
     };
     let writing = async {
-        while let Some(message) = waiting.recv().await {
+        loop {
+            let message = tokio::select! {
+                biased;
+                Some(message) = waiting.recv() => message,
+                Some(()) = probes.recv() => text::ALIVE,
+                else => return Ok(()),
+            };
             write.write_all(&message).await.map_err(Fault::io(Reached::Sent))?;
         }
-        // Another stream of this proxy took its place, or it did not read, or it was silent for too long.
-        Ok(())
     };
-    tokio::select! { end = reading => end, end = writing => end }
+    tokio::select! {
+        biased;
+        // Another stream of this proxy took its place, or it did not read, or it was silent for too long. Guards
+        // against a write that a peer which reads nothing holds up for good, and against orders that nobody waits
+        // for any more: what is left unwritten is unanswered, so it counts as unapplied.
+        () = ended(given_up) => Ok(()),
+        end = reading => end,
+        end = writing => end,
+    }
+}
+
+/// Waits until whoever writes orders has let go of the stream.
+async fn ended(given_up: oneshot::Receiver<Infallible>) {
+    _ = given_up.await;
 }
 
 /// Nothing is written to a collector but answers to probes.
@@ -263,33 +287,29 @@
 /// Lines as they come: in pieces, or many at once.
 struct Lines {
     read: OwnedReadHalf,
-    text: BytesMut,
-    /// Bytes already known to hold no end of a line.
-    seen: usize,
+    buffer: LineBuffer,
+    /// Bytes of the unfinished line already known to fit a message.
+    checked: usize,
 }
 
 impl Lines {
     async fn next(&mut self, longest: usize) -> Result<Option<BytesMut>, Fault> {
         loop {
-            if let Some(end) = self.text[self.seen..].iter().position(|byte| *byte == b'\n') {
-                let mut line = self.text.split_to(self.seen + end + 1);
-                self.seen = 0;
-                line.truncate(line.len() - 1);
-                if line.ends_with(b"\r") {
-                    line.truncate(line.len() - 1);
-                }
+            if let Some(line) = self.buffer.next() {
+                self.checked = 0;
                 return Ok(Some(line));
             }
-            if !text::may_become_one(&self.text) {
+            let start = self.buffer.unfinished();
+            let Some(checked) = text::may_become_one(start, self.checked) else {
                 return Err(Fault::reading("what can't be read"));
-            }
-            self.seen = self.text.len();
-            self.text.reserve(ROOM);
-            if self.seen > longest {
+            };
+            self.checked = checked;
+            if start.len() > longest {
                 return Err(Fault::reading(format!("a line is longer than {longest} bytes")));
             }
-            if self.read.read_buf(&mut self.text).await.map_err(Fault::io(Reached::Reading))? == 0 {
-                return match self.text.is_empty() {
+            let space = self.buffer.space(ROOM);
+            if self.read.read_buf(space).await.map_err(Fault::io(Reached::Reading))? == 0 {
+                return match self.buffer.unfinished().is_empty() {
                     true => Ok(None),
                     false => Err(Fault::reading("it ends within a line")),
                 };
--- a/crates/manager/src/text.rs
+++ b/crates/manager/src/text.rs
@@ -57,11 +57,13 @@
 
 const KINDS: [&str; 6] = ["probe", "agent", "hello", "outcomes", "demand", "ack"];
 
-/// Whether what has come of a line can still become a message. Guards against bytes that go on for long
-/// without an end of a line: nobody need wait for that to know that they can't be read.
-pub fn may_become_one(start: &[u8]) -> bool {
+/// Whether what has come of a line can still become a message, as the number of its bytes that need not be looked at
+/// again; `checked` is what this said of fewer of them. Guards against bytes that go on for long without an end of a
+/// line: nobody need wait for that to know that they can't be read.
+pub fn may_become_one(start: &[u8], checked: usize) -> Option<usize> {
     let start = start.strip_suffix(b"\r").unwrap_or(start);
-    let end = start.iter().position(|byte| *byte == b' ');
+    let longest = KINDS.iter().map(|kind| kind.len() + 1).max().unwrap_or(0);
+    let end = start.iter().take(longest).position(|byte| *byte == b' ');
     let kind = &start[..end.unwrap_or(start.len())];
     let fits = |known: &&str| {
         if end.is_some() {
@@ -70,7 +72,8 @@
             known.as_bytes().starts_with(kind)
         }
     };
-    KINDS.iter().any(fits) && !start.iter().any(u8::is_ascii_control)
+    let fits = KINDS.iter().any(fits) && !start[checked.min(start.len())..].iter().any(u8::is_ascii_control);
+    fits.then_some(start.len())
 }
 
 struct Words<'a>(HashMap<&'a str, &'a str>);
@@ -300,10 +303,10 @@
     #[test]
     fn what_will_be_no_message_is_known_before_its_line_ends() {
         for start in [&b""[..], b"p", b"probe", b"probe\r", b"hello no", b"ack node=\xc3"] {
-            assert!(may_become_one(start), "{start:?}");
+            assert!(may_become_one(start, 0).is_some(), "{start:?}");
         }
         for start in [&b"GET"[..], b"probes", b"prob ", b"ack node=\0", b"\x16\x03\x01", b"\xff", b"\r\r"] {
-            assert!(!may_become_one(start), "{start:?}");
+            assert!(may_become_one(start, 0).is_none(), "{start:?}");
         }
     }
 }
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -1,71 +1,15 @@
 //! Stories on real sockets: a manager, and stand-ins for discovery, proxies and collectors.
 
+mod town;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
-use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
-use juniperrail_manager::{Launch, Manager};
-use juniperrail_standins::{address_served, list, Discovery, Peer, SETTINGS};
-
-fn entry(id: &str, lifecycle: &str) -> String {
-    juniperrail_standins::entry(id, "a", "127.0.0.1:9", lifecycle)
-}
-
-fn config(discovery: SocketAddr, sockets: usize) -> String {
-    let known = list(41, true, &["s-1", "s-2", "s-3"].map(|id| entry(id, "ready")));
-    format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-        "limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
-    )
-}
-
-struct Town {
-    manager: SocketAddr,
-    discovery: TcpListener,
-    stop: Option<tokio::sync::oneshot::Sender<()>>,
-}
-
-impl Town {
-    fn new(sockets: usize) -> Town {
-        Town::with(|discovery| config(discovery, sockets))
-    }
-
-    fn with(config: impl FnOnce(SocketAddr) -> String) -> Town {
-        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let config = config(discovery.local_addr().unwrap());
-        let (tell, told) = mpsc::channel();
-        let (stop, stopped) = tokio::sync::oneshot::channel();
-        thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(async {
-                let manager = Manager::bind(Launch::new(&config, |_| None).unwrap()).await.unwrap();
-                tell.send(manager.address()).unwrap();
-                tokio::select! { () = manager.serve() => {}, _ = stopped => {} }
-            });
-        });
-        Town { manager: told.recv().unwrap(), discovery, stop: Some(stop) }
-    }
-
-    fn peer(&self) -> Peer {
-        Peer::dial(self.manager)
-    }
-
-    fn proxy(&self, number: u16) -> Peer {
-        Peer::joined(self.manager, number)
-    }
-
-    /// Takes the next watch: what was asked for, and the connection with a head already answered.
-    fn watch(&self, status: &str) -> (String, Peer) {
-        watch(&self.discovery, status)
-    }
-}
-
-fn watch(discovery: &TcpListener, status: &str) -> (String, Peer) {
-    Discovery::accept(discovery, status)
-}
+use juniperrail_standins::{address_served, list, Peer, SETTINGS};
+use town::{config, entry, watch, Town};
 
 #[test]
 fn a_proxy_that_joins_is_given_the_whole_table_of_the_list_last_held() {
--- /dev/null
+++ b/crates/manager/tests/town/mod.rs
@@ -0,0 +1,134 @@
+//! A manager in this process, or the program as a process of its own, with discovery played by hand.
+
+#![allow(dead_code)] // Each file of stories uses a part of it.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use juniperrail_manager::{Launch, Manager};
+use juniperrail_standins::{address_served, list, Discovery, Peer, SETTINGS};
+
+/// Nothing that is waited for takes so long, however busy the machine is.
+const WITHIN: Duration = Duration::from_secs(20);
+
+pub fn entry(id: &str, lifecycle: &str) -> String {
+    juniperrail_standins::entry(id, "a", "127.0.0.1:9", lifecycle)
+}
+
+pub fn config(discovery: SocketAddr, sockets: usize) -> String {
+    let known = list(41, true, &["s-1", "s-2", "s-3"].map(|id| entry(id, "ready")));
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+pub struct Town {
+    pub manager: SocketAddr,
+    pub discovery: TcpListener,
+    pub stop: Option<tokio::sync::oneshot::Sender<()>>,
+}
+
+impl Town {
+    pub fn new(sockets: usize) -> Town {
+        Town::with(|discovery| config(discovery, sockets))
+    }
+
+    pub fn with(config: impl FnOnce(SocketAddr) -> String) -> Town {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let config = config(discovery.local_addr().unwrap());
+        let (tell, told) = mpsc::channel();
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let manager = Manager::bind(Launch::new(&config, |_| None).unwrap()).await.unwrap();
+                tell.send(manager.address()).unwrap();
+                tokio::select! { () = manager.serve() => {}, _ = stopped => {} }
+            });
+        });
+        Town { manager: told.recv().unwrap(), discovery, stop: Some(stop) }
+    }
+
+    pub fn peer(&self) -> Peer {
+        Peer::dial(self.manager)
+    }
+
+    pub fn proxy(&self, number: u16) -> Peer {
+        Peer::joined(self.manager, number)
+    }
+
+    /// Takes the next watch: what was asked for, and the connection with a head already answered.
+    pub fn watch(&self, status: &str) -> (String, Peer) {
+        watch(&self.discovery, status)
+    }
+}
+
+pub fn watch(discovery: &TcpListener, status: &str) -> (String, Peer) {
+    Discovery::accept(discovery, status)
+}
+
+/// The program as a process of its own, with its configuration in a file that goes with it.
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Option<BufReader<ChildStderr>>,
+    pub path: PathBuf,
+}
+
+impl Program {
+    /// `name` sets its file apart from those of other stories.
+    pub fn start(name: &str, config: &str) -> Program {
+        Program::start_with(name, config, &[])
+    }
+
+    pub fn start_with(name: &str, config: &str, variables: &[(&str, &str)]) -> Program {
+        let path = std::env::temp_dir().join(format!("juniperrail-{name}-{}.json", std::process::id()));
+        std::fs::write(&path, config).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_juniperrail"));
+        program.env_clear().env("PROXY_CONFIG", &path).envs(variables.iter().copied());
+        let mut child = program.stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let address = address_served(&mut log);
+        Program { child, address, log: Some(log), path }
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([&format!("-{signal}"), &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// The next line of the log that holds the part.
+    pub fn logged(&mut self, part: &str) -> String {
+        let lines = self.log.as_mut().expect("its log is read").by_ref().lines();
+        let mut lines = lines.map(Result::unwrap);
+        lines.find(|line| line.contains(part)).unwrap_or_else(|| panic!("{part} is never said"))
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Waits until it holds so many descriptors.
+    pub fn until_descriptors(&self, count: usize) {
+        let until = Instant::now() + WITHIN;
+        while self.descriptors() != count {
+            assert!(Instant::now() < until, "{} descriptors, not {count}", self.descriptors());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+        _ = std::fs::remove_file(&self.path);
+    }
+}
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -1,14 +1,20 @@
 //! One connection, line by line.
 
-use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 /// Nothing that is waited for takes so long, however busy the machine is.
 const WITHIN: Duration = Duration::from_secs(20);
 
+/// The buffer and the segments of a connection that takes little, in bytes.
+const NARROW: usize = 4096;
+const SEGMENT: u32 = 536;
+
 /// A connection that is spoken line by line, and fails loudly where nothing comes.
 pub struct Peer(BufReader<TcpStream>);
 
@@ -30,8 +36,32 @@
         peer
     }
 
+    /// One that takes little: what is written to it and not read soon fills its connection.
+    pub fn narrow(address: SocketAddr) -> Peer {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).expect("a socket");
+        // Both before it connects: what the other side may send at once goes by them.
+        socket.set_recv_buffer_size(NARROW).expect("a live socket");
+        socket.set_tcp_mss(SEGMENT).expect("a live socket");
+        socket.connect(&address.into()).expect("somebody listens");
+        Peer::new(socket.into())
+    }
+
     pub fn raw(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("the connection takes it");
+        self.try_raw(text).expect("the connection takes it");
+    }
+
+    /// Fails once the other side has ended the connection.
+    pub fn try_raw(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
+    /// All that still comes until the connection ends, also where it ends within a line.
+    pub fn rest(&mut self) -> String {
+        let mut rest = Vec::new();
+        match self.0.read_to_end(&mut rest) {
+            Err(err) if err.kind() != ErrorKind::ConnectionReset => panic!("it does not end: {err}"),
+            _ => String::from_utf8(rest).expect("text"),
+        }
     }
 
     pub fn say(&mut self, line: &str) {
