Eight more crossings are forced by tests; connections are counted in the system's table

Settled as sound, each by a test with real connections: an answer whose head never ends, signals together and twice, SIGTERM in the middle of a write and a successor at once, streams that ended before their introduction was read, a half-closed stream, a flood of strangers before and after proxies that return, a drain amid flooding collectors, SIGHUP without a file. The tests of given-up streams counted descriptors, which a dial of the watch may change; they count the connections to the address now, as strictly.

--- a/crates/manager/tests/crossings.rs
+++ b/crates/manager/tests/crossings.rs
@@ -6,6 +6,8 @@
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,12 +40,11 @@
 #[test]
 fn a_stream_given_up_as_silent_gives_its_descriptor_back_though_a_write_to_it_never_ends() {
     let program = Program::start("silent", &wide(nobody()));
-    let before = program.descriptors();
     let mut proxy = Peer::narrow(program.address);
     proxy.say("hello node=1 locality=a w=2 cold=1");
-    program.until_descriptors(before + 1);
+    program.until_connections(1);
     // It reads nothing for good: silent after a period and a transit, given up after as long again.
-    program.until_descriptors(before);
+    program.until_connections(0);
     drop(proxy);
 }
 
@@ -97,9 +98,8 @@
         let program = Program::start("stranger", &config(nobody(), 28));
         let mut joined: Vec<Peer> = (0..13).map(|number| Peer::joined(program.address, number)).collect();
         joined.iter_mut().for_each(|proxy| _ = proxy.line_with("whole=1"));
-        let before = program.descriptors();
         let mut stranger = Peer::dial(program.address);
-        program.until_descriptors(before + 1);
+        program.until_connections(14);
         program.signal("STOP");
         let mut newcomer = Peer::dial(program.address);
         newcomer.say("hello node=14 locality=a w=2 cold=1");
@@ -110,7 +110,7 @@
             Some(late) if late.starts_with("error why=late") => continue,
             end => assert_eq!(end, None, "its descriptor is another's"),
         }
-        program.until_descriptors(before + 1);
+        program.until_connections(14);
         return;
     }
     panic!("the machine is too busy for two lines within a second");
@@ -301,3 +301,141 @@
         waiting.expect("the handshake of each is done").into_iter().flatten().collect();
     assert_eq!(waiting.len(), count);
 }
+
+#[test]
+fn an_answer_whose_head_never_ends_is_given_up_and_its_connection_ended() {
+    let town = Town::new(64);
+    let mut agent = Peer::new(town.discovery.accept().unwrap().0);
+    assert!(agent.line().is_some_and(|asked| asked.starts_with("GET /v1/servers?stream=1")));
+    agent.raw("HTTP/1.1 200 OK\r\nX-Never: a");
+    assert!(accepted(&town.discovery).is_some(), "it is dialled again");
+    // Nothing more is taken on the first; what is sent meets its end.
+    let until = Instant::now() + Duration::from_secs(20);
+    while agent.try_raw("a").is_ok() {
+        assert!(Instant::now() < until, "the connection stays");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn signals_that_come_together_or_twice_end_it_once_and_well() {
+    let mut program = Program::start("signals", &config(nobody(), 64));
+    let mut proxy = Peer::joined(program.address, 1);
+    proxy.line_with("whole=1");
+    program.signal("STOP");
+    for signal in ["HUP", "TERM", "HUP", "TERM", "CONT"] {
+        program.signal(signal);
+    }
+    assert!(program.child.wait().unwrap().success());
+    proxy.rest();
+}
+
+#[test]
+fn a_restart_in_the_middle_of_a_write_cuts_one_line_and_the_successor_serves_at_once() {
+    let mut old = Program::start("half", &wide(nobody()));
+    let address = old.address;
+    let mut slow = Peer::narrow(address);
+    slow.say("hello node=1 locality=a w=2 cold=1");
+    let mut other = Peer::joined(address, 2);
+    other.line_with("whole=1");
+    old.signal("TERM");
+    assert!(old.child.wait().unwrap().success(), "whoever reads nothing holds up no end");
+    let successor =
+        Program::start_with("half-next", &wide(nobody()), &[("PROXY_LISTEN", &address.to_string())]);
+    assert_eq!(successor.address, address);
+    // What came of the table ends within a line: no part of a message that a proxy could take for a whole one.
+    let cut = slow.rest();
+    assert!(cut.starts_with("push") && !cut.ends_with("\r\n"), "{} bytes", cut.len());
+    let told = Peer::joined(address, 1).line_with("whole=1");
+    assert!(told.contains("ticket=1"), "it knows nothing of what its predecessor sent");
+}
+
+#[test]
+fn a_stream_that_ended_before_its_introduction_was_read_is_no_match_for_the_next_one() {
+    let program = Program::start("ended", &config(nobody(), 64));
+    program.signal("STOP");
+    for _ in 0..8 {
+        drop(Peer::joined(program.address, 7));
+    }
+    let mut last = Peer::joined(program.address, 7);
+    program.signal("CONT");
+    last.line_with("whole=1");
+    program.until_connections(1);
+    last.say("probe");
+    last.line_with("alive");
+}
+
+#[test]
+fn a_proxy_that_closes_only_its_sending_half_has_left() {
+    let town = Town::new(64);
+    let mut half = town.proxy(1);
+    let mark = half.line_with("ticket=").split("ticket=").nth(1).unwrap().to_string();
+    half.say(&format!("ack node=1 nonce={mark} latency=1.0"));
+    half.close_sending();
+    half.rest();
+    let mut again = town.proxy(1);
+    again.line_with("whole=1");
+    again.alive();
+}
+
+#[test]
+fn every_proxy_that_comes_back_amid_a_flood_of_strangers_is_taken() {
+    let program = Program::start("flood", &config(nobody(), 64));
+    program.signal("STOP");
+    // More than may be open in all, each before any proxy.
+    let strangers: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(program.address).unwrap()).collect();
+    let mut proxies: Vec<Peer> = (0..20).map(|number| Peer::joined(program.address, number)).collect();
+    let more: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(program.address).unwrap()).collect();
+    program.signal("CONT");
+    for proxy in &mut proxies {
+        proxy.line_with("whole=1");
+    }
+    drop((strangers, more));
+}
+
+#[test]
+fn a_drain_comes_through_while_collectors_flood() {
+    let town = Town::new(64);
+    let mut proxy = Answering::joined(town.manager, 1);
+    proxy.line_with("whole=1");
+    let (_, mut agent) = town.watch("200 OK");
+    let stopped = Arc::new(AtomicBool::new(false));
+    let floods: Vec<_> = (0..4)
+        .map(|_| {
+            let (mut collector, stopped) = (town.peer(), stopped.clone());
+            thread::spawn(move || {
+                collector.say("agent locality=a");
+                let report =
+                    "outcomes locality=a endpoint=s-3 total=9 errors=0 rtt=40 interval=1000\r\n".repeat(500);
+                let mut sent = 0;
+                while !stopped.load(Ordering::Relaxed) && collector.try_raw(&report).is_ok() {
+                    sent += 500;
+                }
+                sent
+            })
+        })
+        .collect();
+    for (version, worker) in [(42, "s-1"), (43, "s-2")] {
+        agent.chunk(&(list(version, false, &[entry(worker, "draining")]) + "\n"));
+        proxy.line_with(&format!("out={worker}"));
+    }
+    stopped.store(true, Ordering::Relaxed);
+    let sent: usize = floods.into_iter().map(|flood| flood.join().unwrap()).sum();
+    assert!(sent > 4096, "{sent} reports are no flood: fewer than the queue holds");
+}
+
+#[test]
+fn a_reload_without_a_file_leaves_all_as_it_was() {
+    let mut program = Program::start("gone", &config(nobody(), 64));
+    let mut proxy = Peer::joined(program.address, 1);
+    proxy.line_with("whole=1");
+    let json = std::fs::read_to_string(&program.path).unwrap();
+    std::fs::remove_file(&program.path).unwrap();
+    program.signal("HUP");
+    program.logged("the configuration stays as it was");
+    std::fs::write(&program.path, json).unwrap();
+    program.signal("HUP");
+    program.logged("the configuration was read again");
+    proxy.say("probe");
+    proxy.line_with("alive");
+}
--- a/crates/manager/tests/town/mod.rs
+++ b/crates/manager/tests/town/mod.rs
@@ -13,6 +13,9 @@
 use juniperrail_manager::{Launch, Manager};
 use juniperrail_standins::{address_served, list, Discovery, Peer, SETTINGS};
 
+/// A listener, as the system words it in its table of connections.
+const LISTENS: &str = "0A";
+
 /// Nothing that is waited for takes so long, however busy the machine is.
 const WITHIN: Duration = Duration::from_secs(20);
 
@@ -110,16 +113,24 @@
         lines.find(|line| line.contains(part)).unwrap_or_else(|| panic!("{part} is never said"))
     }
 
-    /// Descriptors that it holds.
-    pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    /// Connections to its address that it holds: taken and not closed. Those that the system alone still keeps, before or
+    /// after, belong to no descriptor.
+    pub fn connections(&self) -> usize {
+        let port = format!(":{:04X}", self.address.port());
+        let all = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let held = |line: &&str| {
+            let of: Vec<&str> = line.split_whitespace().collect();
+            let (local, state, inode) = (of[1], of[3], of[9]);
+            local.ends_with(&port) && state != LISTENS && inode != "0"
+        };
+        all.lines().skip(1).filter(held).count()
     }
 
-    /// Waits until it holds so many descriptors.
-    pub fn until_descriptors(&self, count: usize) {
+    /// Waits until it holds so many.
+    pub fn until_connections(&self, count: usize) {
         let until = Instant::now() + WITHIN;
-        while self.descriptors() != count {
-            assert!(Instant::now() < until, "{} descriptors, not {count}", self.descriptors());
+        while self.connections() != count {
+            assert!(Instant::now() < until, "{} connections, not {count}", self.connections());
             thread::sleep(Duration::from_millis(5));
         }
     }
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -1,7 +1,7 @@
 //! One connection, line by line.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 use std::time::Duration;
@@ -55,6 +55,11 @@
         self.0.get_mut().write_all(text.as_bytes())
     }
 
+    /// Nothing more will be said; what comes is still read.
+    pub fn close_sending(&mut self) {
+        self.0.get_ref().shutdown(Shutdown::Write).expect("a live socket");
+    }
+
     /// All that still comes until the connection ends, also where it ends within a line.
     pub fn rest(&mut self) -> String {
         let mut rest = Vec::new();
