A later link of a manager ends the one before it

Need: of the suspicions of the issue, 'an answer of an ended link taken for the new one's'. Read: the council's answers carry the leader's clock as it was sent and its term (message.rs, Appended), so leases and progress are sound in any order. The lines at fault were links.rs, listen, and mail.rs, came: they told connections apart by the peer's start alone, so that two connections of one start were both listened to. What the earlier one still held back came behind the later one's words: evidence that a later word had replaced counted as the newest, and a half-open link kept its place for good. Each connection now has a number, and only the latest one counts.

--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -166,22 +166,28 @@
         )));
     }
     let from = mail.of(hello.from);
-    if !from.connected(hello.run) {
-        return Err(refused(format!("{} has started anew since", hello.from)));
-    }
+    let link =
+        from.connected(hello.run).ok_or_else(|| refused(format!("{} has started anew since", hello.from)))?;
     loop {
-        let parcel: Parcel = read(&mut socket, LONGEST).await?;
+        let parcel: Parcel = tokio::select! {
+            biased;
+            () = from.replaced(link) => return Err(refused("another connection took its place".into())),
+            parcel = read(&mut socket, LONGEST) => parcel?,
+        };
         let times = match Point::LINK_RECEIVED.pass() {
             Some(Fault::Lose) => 0,
             Some(Fault::Repeat) => 2,
             _ => 1,
         };
         for _ in 0..times {
-            let room = from.came(hello.run, parcel.clone());
+            let room = from.came(link, parcel.clone());
             mail.wake();
             if !room {
                 // Only this manager's connection stands still.
-                from.drained.notified().await;
+                tokio::select! {
+                    () = from.drained.notified() => {}
+                    () = from.replaced(link) => return Ok(()),
+                }
             }
         }
     }
--- a/crates/fleet/src/mail.rs
+++ b/crates/fleet/src/mail.rs
@@ -10,7 +10,7 @@
 use juniperrail_schedule::{Todo, Turn};
 use parking_lot::{Condvar, Mutex};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 /// Messages from one manager that may wait; its connection is read no further meanwhile.
 pub const INBOX: usize = 512;
@@ -41,12 +41,17 @@
     }
 }
 
+/// Connections of one other manager, in the order in which they said who they are.
+pub type LinkNumber = u64;
+
 #[derive(Default)]
 struct Boxes {
     inbox: VecDeque<Parcel>,
     outbox: VecDeque<Parcel>,
     /// The start of the other manager that the inbox is from.
     run: Run,
+    /// The connection that it speaks over: only the latest one counts.
+    link: LinkNumber,
     lost: u64,
 }
 
@@ -57,11 +62,14 @@
     pub filled: Notify,
     /// The inbox has room again.
     pub drained: Notify,
+    /// The latest connection, for those before it.
+    latest: watch::Sender<LinkNumber>,
 }
 
 impl Box {
     fn new() -> Box {
-        Box { boxes: Mutex::default(), filled: Notify::new(), drained: Notify::new() }
+        let (filled, drained, latest) = (Notify::new(), Notify::new(), watch::Sender::new(0));
+        Box { boxes: Mutex::default(), filled, drained, latest }
     }
 
     /// Takes a message to be sent.
@@ -84,23 +92,32 @@
         self.boxes.lock().outbox.pop_front()
     }
 
-    /// A new connection: what an earlier start of that manager said is void.
-    pub fn connected(&self, run: Run) -> bool {
+    /// A new connection, by its number; `None` for one of an earlier start. What an earlier start of that manager said is
+    /// void, and so is what an earlier connection still brings: it would come behind what was said later.
+    pub fn connected(&self, run: Run) -> Option<LinkNumber> {
         let mut boxes = self.boxes.lock();
         if run < boxes.run {
-            return false;
+            return None;
         }
         if run > boxes.run {
             boxes.inbox.clear();
             boxes.run = run;
         }
-        true
+        boxes.link += 1;
+        self.latest.send_replace(boxes.link);
+        Some(boxes.link)
+    }
+
+    /// Ends once another connection took the place of this one.
+    pub async fn replaced(&self, link: LinkNumber) {
+        // The sender is this box's own.
+        _ = self.latest.subscribe().wait_for(|latest| *latest != link).await;
     }
 
-    /// Takes what came, unless it is of an earlier start or there is no room. Whether there is room for more.
-    pub fn came(&self, run: Run, parcel: Parcel) -> bool {
+    /// Takes what came, unless it is of an earlier connection. Whether there is room for more.
+    pub fn came(&self, link: LinkNumber, parcel: Parcel) -> bool {
         let mut boxes = self.boxes.lock();
-        if run == boxes.run {
+        if link == boxes.link {
             boxes.inbox.push_back(parcel);
         }
         boxes.inbox.len() < INBOX
