Decisions that fail turn after turn rest ever longer, up to a report period

The first start anew is at once as before; from the second on it rests for one tick, three, seven, up to a report period, until a turn succeeds.

--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -69,6 +69,8 @@
     /// What is added to the module's marks as they go out, and the last that did. Guards against answers to marks of a
     /// module that failed: the next one counts from the start again.
     marks: (u16, u16),
+    /// Turns in a row in which the module failed, and until when there is none for that.
+    failed: (u32, Ms),
     /// Who leaves and since when that was told, for as long as it may be owed.
     leaving: BTreeMap<WorkerId, Ms>,
     probes: Probes,
@@ -112,6 +114,7 @@
             heard: Vec::new(),
             tally: Tally::default(),
             marks: (0, 0),
+            failed: (0, 0.0),
             leaving: BTreeMap::new(),
             probes,
             news: news.downgrade(),
@@ -143,7 +146,8 @@
         loop {
             let wakes = self.wakes.iter().map(|(at, _)| *at).chain(self.presence.next());
             let look = self.progress.open().next().map(|_| self.looked + LOOK_EVERY);
-            let wake = wakes.chain(look).fold(self.clock.now() + LONGEST_SLEEP, f64::min);
+            let rested = Some(self.failed.1).filter(|_| !self.heard.is_empty());
+            let wake = wakes.chain(look).chain(rested).fold(self.clock.now() + LONGEST_SLEEP, f64::min);
             let (mut first, mut asked, mut agreed) = (None, None, None);
             tokio::select! {
                 news = news.recv() => match news {
@@ -170,7 +174,7 @@
             asked.into_iter().for_each(|ask| self.answer(ask));
             agreed.into_iter().for_each(|parts| self.lean(&parts));
             self.witness(now);
-            if !self.heard.is_empty() {
+            if !self.heard.is_empty() && now >= self.failed.1 {
                 self.turn();
             }
             self.look(now);
@@ -518,7 +522,10 @@
             (self.plane.messages(&orders, &self.names), orders)
         });
         match catch_unwind(turn) {
-            Ok((parcels, orders)) => self.hand_out(now, parcels, orders),
+            Ok((parcels, orders)) => {
+                self.failed = (0, 0.0);
+                self.hand_out(now, parcels, orders)
+            }
             Err(_) => self.restart(now),
         }
     }
@@ -550,8 +557,12 @@
         full.into_iter().chain(late).collect()
     }
 
-    /// Guards against a panic in the module: it starts anew on the list held and the streams open.
+    /// Guards against a panic in the module: it starts anew on the list held and the streams open; at once the first time,
+    /// later after ever longer, up to a report period. Guards so against a log that fills where it fails each time.
     fn restart(&mut self, now: Ms) {
+        let (failed, _) = self.failed;
+        let rest = self.tick.as_secs_f64() * 1000.0 * f64::from(2u32.pow(failed.min(16)) - 1);
+        self.failed = (failed + 1, now + rest.min(self.start.report_period));
         tracing::error!("the decisions failed and start anew with {} proxies", self.presence.streams.len());
         self.brain = Brain::new(now, self.rng.u64(..), self.start.clone());
         self.marks.0 = self.marks.1;
@@ -713,6 +724,31 @@
         assert!(town.told(stream).contains("whole=1 lines=s-1:1"), "it is bound again over the same stream");
     }
 
+    #[test]
+    fn decisions_that_fail_again_and_again_rest_ever_longer() {
+        let mut town = Town::new();
+        town.join(true);
+        let mut rests = Vec::new();
+        for _ in 0..14 {
+            let before = town.0.clock.now();
+            town.0.turn_by(|_, _, _| panic!("out of range"));
+            // By how much later than the failure, of which this is a little before.
+            rests.push(town.0.failed.1 - before);
+        }
+        // Ticks of 2 ms: none, one, three, ..., and a report period at the most.
+        for (failed, rest) in rests.iter().enumerate() {
+            let least = (2.0 * (2f64.powi(failed as i32) - 1.0)).min(2000.0);
+            assert!(*rest >= least, "{failed}: {rests:?}");
+        }
+        let late = town.0.clock.now();
+        assert!(town.0.failed.1 <= late + 2000.0, "{rests:?}");
+        town.turn();
+        assert_eq!(town.0.failed, (0, 0.0), "all is well again");
+        let before = town.0.clock.now();
+        town.0.turn_by(|_, _, _| panic!("out of range"));
+        assert!(town.0.failed.1 <= town.0.clock.now() && town.0.failed.1 >= before, "at once the first time");
+    }
+
     #[test]
     fn an_answer_to_decisions_that_failed_is_none_to_those_that_start_anew() {
         let mut town = Town::new();
