--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -20,7 +20,7 @@
 use crate::agreed::{Agreed, Word};
 use crate::disk::Watched;
 use crate::links::Book;
-use crate::mail::{Mail, Parcel};
+use crate::mail::{Mail, PeerMessage};
 use crate::seen::{ScheduleSeen, Seen};
 use crate::setting::Setting;
 use crate::Parts;
@@ -189,9 +189,9 @@
         for (from, parcels) in came {
             for parcel in parcels {
                 match parcel {
-                    Parcel::Council(message) => self.council.heard(now, from, message),
-                    Parcel::Sight(message) => self.sight.heard(now, day, from, message),
-                    Parcel::Evidence(word) => self.witness(now, from, word),
+                    PeerMessage::Council(message) => self.council.heard(now, from, message),
+                    PeerMessage::Sight(message) => self.sight.heard(now, day, from, message),
+                    PeerMessage::Evidence(word) => self.witness(now, from, word),
                 }
             }
         }
@@ -224,13 +224,13 @@
                 }
             }
             for (to, message) in sends {
-                self.mail.of(to).send(Parcel::Council(message));
+                self.mail.of(to).send(PeerMessage::Council(message));
             }
             news.into_iter().for_each(|news| self.told(news));
             agreed.into_iter().for_each(|agreed| self.take_over(agreed));
         }
         for (to, message) in self.sight.sends() {
-            self.mail.of(to).send(Parcel::Sight(message));
+            self.mail.of(to).send(PeerMessage::Sight(message));
         }
         for (about, health) in self.sight.turned() {
             match health {
@@ -390,7 +390,9 @@
             _ => {
                 let leader = self.council.leader();
                 leader.into_iter().for_each(|leader| {
-                    self.mail.of(leader).send(Parcel::Council(Message::Propose { command: command.clone() }));
+                    self.mail
+                        .of(leader)
+                        .send(PeerMessage::Council(Message::Propose { command: command.clone() }));
                 });
             }
         }
@@ -488,7 +490,7 @@
         for _ in 0..times {
             match self.council.leader() {
                 Some(leader) if leader != self.setting.me => {
-                    self.mail.of(leader).send(Parcel::Evidence(word.clone()))
+                    self.mail.of(leader).send(PeerMessage::Evidence(word.clone()))
                 }
                 Some(me) => self.witness(now, me, word.clone()),
                 None => {}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,7 +37,7 @@
 use tokio::sync::watch;
 
 pub use agreed::Word;
-pub use mail::Parcel;
+pub use mail::PeerMessage;
 pub use seen::{ScheduleSeen, Seen};
 pub use setting::{Addresses, Setting};
 pub use shards::Shards;
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::effects;
-use crate::mail::{Mail, Parcel};
+use crate::mail::{Mail, PeerMessage};
 use crate::setting::{Addresses, Setting};
 
 /// A longer message is none of ours: a snapshot of all that is agreed has room in it.
@@ -169,7 +169,7 @@
     let link =
         from.connected(hello.run).ok_or_else(|| refused(format!("{} has started anew since", hello.from)))?;
     loop {
-        let parcel: Parcel = tokio::select! {
+        let parcel: PeerMessage = tokio::select! {
             biased;
             () = from.replaced(link) => return Err(refused("another connection took its place".into())),
             parcel = read(&mut socket, LONGEST) => parcel?,
--- a/crates/fleet/src/mail.rs
+++ b/crates/fleet/src/mail.rs
@@ -23,20 +23,20 @@
 
 /// What one manager says to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Parcel {
+pub enum PeerMessage {
     Council(Message),
     Sight(SightMessage),
     /// For the leader, beside the log: what is lost or late is told anew a period later.
     Evidence(Evidence),
 }
 
-impl Parcel {
+impl PeerMessage {
     /// Of two that wait for the same manager in the same slot the newer one says all.
     fn slot(&self) -> Option<u8> {
         match self {
-            Parcel::Council(message) => message.slot(),
-            Parcel::Sight(message) => message.slot(),
-            Parcel::Evidence(_) => Some(32),
+            PeerMessage::Council(message) => message.slot(),
+            PeerMessage::Sight(message) => message.slot(),
+            PeerMessage::Evidence(_) => Some(32),
         }
     }
 }
@@ -46,8 +46,8 @@
 
 #[derive(Default)]
 struct Boxes {
-    inbox: VecDeque<Parcel>,
-    outbox: VecDeque<Parcel>,
+    inbox: VecDeque<PeerMessage>,
+    outbox: VecDeque<PeerMessage>,
     /// The start of the other manager that the inbox is from.
     run: Run,
     /// The connection that it speaks over: only the latest one counts.
@@ -73,7 +73,7 @@
     }
 
     /// Takes a message to be sent.
-    pub fn send(&self, parcel: Parcel) {
+    pub fn send(&self, parcel: PeerMessage) {
         let mut boxes = self.boxes.lock();
         let slot = parcel.slot();
         let older = slot.and_then(|slot| boxes.outbox.iter().position(|known| known.slot() == Some(slot)));
@@ -88,7 +88,7 @@
         self.filled.notify_one();
     }
 
-    pub fn to_send(&self) -> Option<Parcel> {
+    pub fn to_send(&self) -> Option<PeerMessage> {
         self.boxes.lock().outbox.pop_front()
     }
 
@@ -115,7 +115,7 @@
     }
 
     /// Takes what came, unless it is of an earlier connection. Whether there is room for more.
-    pub fn came(&self, link: LinkNumber, parcel: Parcel) -> bool {
+    pub fn came(&self, link: LinkNumber, parcel: PeerMessage) -> bool {
         let mut boxes = self.boxes.lock();
         if link == boxes.link {
             boxes.inbox.push_back(parcel);
@@ -123,7 +123,7 @@
         boxes.inbox.len() < INBOX
     }
 
-    fn take(&self) -> Vec<Parcel> {
+    fn take(&self) -> Vec<PeerMessage> {
         let mut boxes = self.boxes.lock();
         let most = boxes.inbox.len().min(A_TURN);
         let some = boxes.inbox.drain(..most).collect();
@@ -202,8 +202,8 @@
     }
 
     /// What came, by who said it; `true` where more waits.
-    pub fn took(&self) -> (Vec<(MemberId, Vec<Parcel>)>, bool) {
-        let some: Vec<(MemberId, Vec<Parcel>)> =
+    pub fn took(&self) -> (Vec<(MemberId, Vec<PeerMessage>)>, bool) {
+        let some: Vec<(MemberId, Vec<PeerMessage>)> =
             self.all().iter().map(|(id, one)| (*id, one.take())).collect();
         let more = some.iter().any(|(_, parcels)| parcels.len() == A_TURN);
         (some, more)
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -19,10 +19,10 @@
 
 use crate::clock::Clock;
 use crate::fleet::{self, Witness};
+use crate::inbound::{Hello, Inbound, Outbox, StreamId};
 use crate::launch::Launch;
-use crate::news::{Hello, News, Outbox, StreamId};
-use crate::places::Zones;
-use crate::plane::{Parcel, Plane};
+use crate::limiter::Zones;
+use crate::plane::{OutboundMessage, Plane};
 use crate::presence::{Lapse, Presence, Stream};
 use crate::probes::{Found, Probes};
 use crate::roster::Roster;
@@ -74,8 +74,8 @@
     /// Who leaves and since when that was told, for as long as it may be owed.
     leaving: BTreeMap<WorkerId, Ms>,
     probes: Probes,
-    news: mpsc::WeakSender<News>,
-    afresh: Rc<Notify>,
+    inbound: mpsc::WeakSender<Inbound>,
+    resync: Rc<Notify>,
     north: Option<North>,
     /// Who may come from where, for whoever takes connections.
     zones: Rc<Zones>,
@@ -88,8 +88,8 @@
     pub fn new(
         launch: Launch,
         probes: Probes,
-        news: &mpsc::Sender<News>,
-        afresh: Rc<Notify>,
+        inbound: &mpsc::Sender<Inbound>,
+        resync: Rc<Notify>,
         north: Option<North>,
         zones: Rc<Zones>,
     ) -> Self {
@@ -117,8 +117,8 @@
             failed: (0, 0.0),
             leaving: BTreeMap::new(),
             probes,
-            news: news.downgrade(),
-            afresh,
+            inbound: inbound.downgrade(),
+            resync,
             north,
             zones,
             fleet: None,
@@ -141,7 +141,7 @@
         Decider { fleet: fleet.map(|common| (common, Witness::default())), ..self }
     }
 
-    pub async fn run(mut self, mut news: mpsc::Receiver<News>) {
+    pub async fn run(mut self, mut inbound: mpsc::Receiver<Inbound>) {
         let mut last = Instant::now();
         loop {
             let wakes = self.wakes.iter().map(|(at, _)| *at).chain(self.presence.next());
@@ -150,8 +150,8 @@
             let wake = wakes.chain(look).chain(rested).fold(self.clock.now() + LONGEST_SLEEP, f64::min);
             let (mut first, mut asked, mut agreed) = (None, None, None);
             tokio::select! {
-                news = news.recv() => match news {
-                    Some(news) => first = Some(news),
+                inbound = inbound.recv() => match inbound {
+                    Some(inbound) => first = Some(inbound),
                     None => return,
                 },
                 ask = next_ask(&mut self.north) => asked = Some(ask),
@@ -160,7 +160,7 @@
             }
             sleep_until(last + self.tick).await;
             first.into_iter().for_each(|first| self.hear(first));
-            while let Ok(next) = news.try_recv() {
+            while let Ok(next) = inbound.try_recv() {
                 self.hear(next);
             }
             let now = self.clock.now();
@@ -181,28 +181,28 @@
         }
     }
 
-    fn hear(&mut self, news: News) {
-        match news {
-            News::Listing(listing) => {
+    fn hear(&mut self, inbound: Inbound) {
+        match inbound {
+            Inbound::Listing(listing) => {
                 let kind = if listing.full { ListKind::Full } else { ListKind::Changes };
                 let event = self.roster.hear(&listing, kind, &mut self.names);
                 self.list(event);
             }
-            News::Joined { stream, hello, orders } => self.join(stream, hello, orders),
-            News::Ended(stream, why) => {
+            Inbound::Joined { stream, hello, orders } => self.join(stream, hello, orders),
+            Inbound::Ended(stream, why) => {
                 why.into_iter().for_each(|why| self.tally.broke.add(why));
                 let left = self.presence.proxy_of(stream);
                 left.into_iter().for_each(|proxy| self.leave(proxy));
             }
-            News::Said(from, report) => match self.report(from, report) {
+            Inbound::Said(from, report) => match self.report(from, report) {
                 Ok(event) => self.heard.push(event),
                 Err(why) => {
                     tracing::debug!("passed over: {why}");
                     self.tally.odd.add(why);
                 }
             },
-            News::TurnedAway(why) => self.tally.away.add(why),
-            News::Probed(worker, Found { ending, took, load }) => {
+            Inbound::Rejected(why) => self.tally.away.add(why),
+            Inbound::Probed(worker, Found { ending, took, load }) => {
                 self.heard.push(Event::Probed { worker, ending, took, load });
             }
         }
@@ -522,9 +522,9 @@
             (self.plane.messages(&orders, &self.names), orders)
         });
         match catch_unwind(turn) {
-            Ok((parcels, orders)) => {
+            Ok((messages, orders)) => {
                 self.failed = (0, 0.0);
-                self.hand_out(now, parcels, orders)
+                self.hand_out(now, messages, orders)
             }
             Err(_) => self.restart(now),
         }
@@ -582,9 +582,9 @@
         self.wakes.push((now, "anew".into()));
     }
 
-    fn hand_out(&mut self, now: Ms, parcels: Vec<Parcel>, orders: Vec<Order>) {
+    fn hand_out(&mut self, now: Ms, messages: Vec<OutboundMessage>, orders: Vec<Order>) {
         self.presence.next_turn();
-        for Parcel { proxy, bytes, lines, mark } in parcels {
+        for OutboundMessage { proxy, bytes, lines, mark } in messages {
             tracing::trace!("to {}: {lines} lines, {bytes:?}", proxy.0);
             if !self.presence.send(proxy, now, self.start.messages_over, mark, bytes) {
                 tracing::warn!("proxy {} does not read: its stream is given up", proxy.0);
@@ -599,7 +599,7 @@
                 }
                 Order::Log { about: None, text } => tracing::info!("{text}"),
                 Order::Probe { worker } => self.probe(worker),
-                Order::FetchList => self.afresh.notify_one(),
+                Order::FetchList => self.resync.notify_one(),
                 Order::Forget { worker } => {
                     self.plane.forget(worker);
                     self.roster.forget(worker, &mut self.names);
@@ -615,13 +615,13 @@
     fn probe(&mut self, worker: WorkerId) {
         let Some(address) = self.roster.address(worker) else {
             let found = Found { ending: Ending::Unreachable, took: 0.0, load: Load::default() };
-            return self.hear(News::Probed(worker, found));
+            return self.hear(Inbound::Probed(worker, found));
         };
-        let (probes, news) = (self.probes.clone(), self.news.clone());
+        let (probes, inbound) = (self.probes.clone(), self.inbound.clone());
         tokio::spawn(async move {
             let Ok(found) = probes.oneshot(address).await;
-            if let Some(news) = news.upgrade() {
-                _ = news.send(News::Probed(worker, found)).await;
+            if let Some(inbound) = inbound.upgrade() {
+                _ = inbound.send(Inbound::Probed(worker, found)).await;
             }
         });
     }
--- a/crates/manager/src/decider/tests.rs
+++ b/crates/manager/src/decider/tests.rs
@@ -10,14 +10,14 @@
     "domain":{"channel-rate":5000,"pending-max":5000,"overhead":4,"worst-transit-ms":1000,"period-ms":2000,
     "proxy-count":4},"rules":{"drain-grace-ms":3000},"n-instances":1}}"#;
 
-struct Town(Decider, Vec<mpsc::Receiver<Bytes>>);
+struct TestCluster(Decider, Vec<mpsc::Receiver<Bytes>>);
 
-impl Town {
-    fn new() -> Town {
+impl TestCluster {
+    fn new() -> TestCluster {
         let launch = Launch::new(CONFIG, |_| None).unwrap();
-        let (news, _) = mpsc::channel(1);
+        let (inbound, _) = mpsc::channel(1);
         let probes = crate::probes::probes(Duration::ZERO, Duration::ZERO, 1);
-        Town(Decider::new(launch, probes, &news, Rc::default(), None, Rc::default()), Vec::new())
+        TestCluster(Decider::new(launch, probes, &inbound, Rc::default(), None, Rc::default()), Vec::new())
     }
 
     /// Another stream of the one proxy; its number is its place.
@@ -26,7 +26,7 @@
         let stream = StreamId(self.1.len() as u64);
         self.1.push(told);
         let hello = Hello { proxy: 2, zone: "a".into(), inv_per_second: 5.0, fresh };
-        self.0.hear(News::Joined { stream, hello, orders });
+        self.0.hear(Inbound::Joined { stream, hello, orders });
         stream
     }
 
@@ -51,7 +51,7 @@
 
     fn ack(&mut self, from: StreamId, mark: u16) {
         let report = Report::Ack { proxy: 2, mark, took: 1.0 };
-        self.0.hear(News::Said(Some((from, ProxyId(2))), Ok(report)));
+        self.0.hear(Inbound::Said(Some((from, ProxyId(2))), Ok(report)));
     }
 }
 
@@ -59,187 +59,190 @@
 
 #[test]
 fn the_decisions_start_anew_after_a_panic_and_no_stream_is_dropped() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
-    assert!(town.told(stream).contains("whole=1 lines=s-1:1"));
-    town.0.turn_by(|_, _, _| panic!("out of range"));
-    let heard = town.turn();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
+    assert!(cluster.told(stream).contains("whole=1 lines=s-1:1"));
+    cluster.0.turn_by(|_, _, _| panic!("out of range"));
+    let heard = cluster.turn();
     assert!(
         matches!(&heard[0], Event::List { kind: ListKind::Remembered, workers, .. } if workers.len() == 1)
     );
     assert!(matches!(heard[1], Event::Joined { proxy: ProxyId(2), fresh: false, .. }));
-    town.turn();
-    assert!(town.told(stream).contains("whole=1 lines=s-1:1"), "it is bound again over the same stream");
+    cluster.turn();
+    assert!(cluster.told(stream).contains("whole=1 lines=s-1:1"), "it is bound again over the same stream");
 }
 
 #[test]
 fn decisions_that_fail_again_and_again_rest_ever_longer() {
-    let mut town = Town::new();
-    town.join(true);
+    let mut cluster = TestCluster::new();
+    cluster.join(true);
     let mut rests = Vec::new();
     for _ in 0..14 {
-        let before = town.0.clock.now();
-        town.0.turn_by(|_, _, _| panic!("out of range"));
+        let before = cluster.0.clock.now();
+        cluster.0.turn_by(|_, _, _| panic!("out of range"));
         // By how much later than the failure, of which this is a little before.
-        rests.push(town.0.failed.1 - before);
+        rests.push(cluster.0.failed.1 - before);
     }
     // Ticks of 2 ms: none, one, three, ..., and a report period at the most.
     for (failed, rest) in rests.iter().enumerate() {
         let least = (2.0 * (2f64.powi(failed as i32) - 1.0)).min(2000.0);
         assert!(*rest >= least, "{failed}: {rests:?}");
     }
-    let late = town.0.clock.now();
-    assert!(town.0.failed.1 <= late + 2000.0, "{rests:?}");
-    town.turn();
-    assert_eq!(town.0.failed, (0, 0.0), "all is well again");
-    let before = town.0.clock.now();
-    town.0.turn_by(|_, _, _| panic!("out of range"));
-    assert!(town.0.failed.1 <= town.0.clock.now() && town.0.failed.1 >= before, "at once the first time");
+    let late = cluster.0.clock.now();
+    assert!(cluster.0.failed.1 <= late + 2000.0, "{rests:?}");
+    cluster.turn();
+    assert_eq!(cluster.0.failed, (0, 0.0), "all is well again");
+    let before = cluster.0.clock.now();
+    cluster.0.turn_by(|_, _, _| panic!("out of range"));
+    assert!(
+        cluster.0.failed.1 <= cluster.0.clock.now() && cluster.0.failed.1 >= before,
+        "at once the first time"
+    );
 }
 
 #[test]
 fn an_answer_to_decisions_that_failed_is_none_to_those_that_start_anew() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
-    assert!(town.told(stream).contains("ticket=1\r\n"));
-    town.0.turn_by(|_, _, _| panic!("out of range"));
-    town.turn();
-    town.turn();
-    let again = town.told(stream);
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
+    assert!(cluster.told(stream).contains("ticket=1\r\n"));
+    cluster.0.turn_by(|_, _, _| panic!("out of range"));
+    cluster.turn();
+    cluster.turn();
+    let again = cluster.told(stream);
     assert!(again.contains("whole=1"), "{again}");
     assert!(again.contains("ticket=2\r\n") && again.contains("ticket=3\r\n"), "{again}");
     // Held back by the proxy till now: it says nothing of the table sent since.
-    town.ack(stream, 1);
-    assert!(town.0.heard.is_empty() && town.0.presence.streams[&ProxyId(2)].owed.len() == 2);
-    town.ack(stream, 3);
+    cluster.ack(stream, 1);
+    assert!(cluster.0.heard.is_empty() && cluster.0.presence.streams[&ProxyId(2)].owed.len() == 2);
+    cluster.ack(stream, 3);
     assert!(
-        matches!(town.0.heard[..], [Event::Answered { mark: MarkId(2), .. }]),
+        matches!(cluster.0.heard[..], [Event::Answered { mark: MarkId(2), .. }]),
         "the module counts from the start: {:?}",
-        town.0.heard
+        cluster.0.heard
     );
 }
 
 #[test]
 fn who_owes_an_answer_and_is_silent_has_left_until_it_speaks_again() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
-    let silent_at = town.silent_at();
-    town.0.silences(silent_at - 1.0);
-    assert!(town.0.heard.is_empty(), "not yet");
-    town.0.silences(silent_at);
-    assert_eq!(town.turn(), [LEFT]);
-    town.0.silences(silent_at + 1.0);
-    assert!(town.0.heard.is_empty(), "told once");
-    let orders = town.told(stream);
-    town.ack(stream, 1);
-    assert!(matches!(town.turn()[..], [Event::Joined { fresh: false, .. }]), "answers of before are void");
-    assert!(orders.contains("whole=1") && town.told(stream).contains("whole=1"));
-    town.ack(stream, 2);
-    town.turn();
-    town.0.silences(silent_at * 3.0);
-    assert!(town.0.heard.is_empty(), "who owes nothing may be silent");
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
+    let silent_at = cluster.silent_at();
+    cluster.0.silences(silent_at - 1.0);
+    assert!(cluster.0.heard.is_empty(), "not yet");
+    cluster.0.silences(silent_at);
+    assert_eq!(cluster.turn(), [LEFT]);
+    cluster.0.silences(silent_at + 1.0);
+    assert!(cluster.0.heard.is_empty(), "told once");
+    let orders = cluster.told(stream);
+    cluster.ack(stream, 1);
+    assert!(matches!(cluster.turn()[..], [Event::Joined { fresh: false, .. }]), "answers of before are void");
+    assert!(orders.contains("whole=1") && cluster.told(stream).contains("whole=1"));
+    cluster.ack(stream, 2);
+    cluster.turn();
+    cluster.0.silences(silent_at * 3.0);
+    assert!(cluster.0.heard.is_empty(), "who owes nothing may be silent");
 }
 
 #[test]
 fn a_stream_that_stays_silent_gives_its_connection_back() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
-    let silent_at = town.silent_at();
-    town.0.silences(silent_at);
-    assert_eq!(town.turn(), [LEFT]);
-    town.told(stream);
-    town.0.silences(town.silent_at());
-    let end = town.1[0].try_recv();
-    assert_eq!((end, town.turn()), (Err(mpsc::error::TryRecvError::Disconnected), vec![]));
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
+    let silent_at = cluster.silent_at();
+    cluster.0.silences(silent_at);
+    assert_eq!(cluster.turn(), [LEFT]);
+    cluster.told(stream);
+    cluster.0.silences(cluster.silent_at());
+    let end = cluster.1[0].try_recv();
+    assert_eq!((end, cluster.turn()), (Err(mpsc::error::TryRecvError::Disconnected), vec![]));
 }
 
 #[test]
 fn a_spoilt_message_shows_life_and_leaves_nothing_behind() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
-    let silent_at = town.silent_at();
-    town.0.silences(silent_at);
-    town.turn();
-    town.0.hear(News::Said(Some((stream, ProxyId(2))), Err("latency is missing".into())));
-    let heard = town.turn();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
+    let silent_at = cluster.silent_at();
+    cluster.0.silences(silent_at);
+    cluster.turn();
+    cluster.0.hear(Inbound::Said(Some((stream, ProxyId(2))), Err("latency is missing".into())));
+    let heard = cluster.turn();
     assert!(matches!(heard[..], [Event::Joined { fresh: false, .. }]), "{heard:?}");
     let (zone, worker) = ("b".into(), "s-1".into());
     let spoilt =
         Report::Outcomes { zone, worker, tries: 1.0, bad: 1.0, mean: 0.0, over: 1.0, load: <_>::default() };
-    town.0.hear(News::Said(None, Ok(spoilt)));
+    cluster.0.hear(Inbound::Said(None, Ok(spoilt)));
     let demand = Report::Demand { proxy: 2, op: "s-zz".into(), invs: 4.0, unanswered: 0.0, over: 2.0 };
-    town.0.hear(News::Said(None, Ok(demand)));
-    assert!(town.0.heard.is_empty());
-    let names = &town.0.names;
+    cluster.0.hear(Inbound::Said(None, Ok(demand)));
+    assert!(cluster.0.heard.is_empty());
+    let names = &cluster.0.names;
     assert_eq!([&names.zones, &names.workers, &names.ops].map(|named| named.count()), [1, 1, 1]);
 }
 
 #[test]
 fn what_an_old_stream_still_brings_changes_nothing() {
-    let mut town = Town::new();
-    let old = town.join(true);
-    town.turn();
-    let new = town.join(false);
-    let heard = town.turn();
+    let mut cluster = TestCluster::new();
+    let old = cluster.join(true);
+    cluster.turn();
+    let new = cluster.join(false);
+    let heard = cluster.turn();
     assert!(matches!(heard[..], [LEFT, Event::Joined { .. }]), "{heard:?}");
-    town.ack(old, 1);
+    cluster.ack(old, 1);
     let (op, over) = ("lookup".into(), 2000.0);
     let demand = Report::Demand { proxy: 2, op, invs: 4.0, unanswered: 0.0, over };
-    town.0.hear(News::Said(Some((old, ProxyId(2))), Ok(demand)));
-    town.0.hear(News::Ended(old, None));
-    assert!(town.0.heard.is_empty());
-    town.ack(new, 1);
-    assert!(town.0.heard.is_empty(), "mark 1 went over the old stream");
-    town.ack(new, 2);
-    town.ack(new, 2);
-    assert_eq!(town.0.heard.len(), 1, "an answer counts once");
+    cluster.0.hear(Inbound::Said(Some((old, ProxyId(2))), Ok(demand)));
+    cluster.0.hear(Inbound::Ended(old, None));
+    assert!(cluster.0.heard.is_empty());
+    cluster.ack(new, 1);
+    assert!(cluster.0.heard.is_empty(), "mark 1 went over the old stream");
+    cluster.ack(new, 2);
+    cluster.ack(new, 2);
+    assert_eq!(cluster.0.heard.len(), 1, "an answer counts once");
 }
 
 #[test]
 fn a_proxy_that_does_not_read_costs_its_own_stream_only() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.turn();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.turn();
     let mut sent = 0;
-    while town.0.presence.streams.contains_key(&ProxyId(2)) {
+    while cluster.0.presence.streams.contains_key(&ProxyId(2)) {
         let everyone = Order::Mark { number: MarkId(sent), everyone: true };
-        town.0.turn_by(|_, _, _| vec![everyone]);
+        cluster.0.turn_by(|_, _, _| vec![everyone]);
         sent += 1;
     }
     assert_eq!(sent, 64);
-    assert_eq!(town.0.heard, [LEFT]);
-    assert!(town.told(stream).contains("ticket=62"));
+    assert_eq!(cluster.0.heard, [LEFT]);
+    assert!(cluster.told(stream).contains("ticket=62"));
 }
 
 #[test]
 fn of_workers_long_gone_nothing_is_kept() {
-    let mut town = Town::new();
+    let mut cluster = TestCluster::new();
     let entry = |id: u64, lifecycle: &str| {
         let about = r#""hostPort":"127.0.0.1:1","zone":"a","weight":1"#;
         format!(r#"{{"instanceId":"s-{id}","lifecycle":"{lifecycle}",{about}}}"#)
     };
-    let stream = town.join(true);
-    town.turn();
+    let stream = cluster.join(true);
+    cluster.turn();
     for id in 2..40 {
         let entries = [entry(id, "ready"), entry(id - 1, "gone")].join(",");
         let listing = format!(r#"{{"generation":{id},"instances":[{entries}]}}"#);
-        town.0.hear(News::Listing(serde_json::from_str(&listing).unwrap()));
-        town.turn();
-        for mark in town.told(stream).split("ticket=").skip(1) {
-            town.ack(stream, mark.split_whitespace().next().unwrap().parse().unwrap());
+        cluster.0.hear(Inbound::Listing(serde_json::from_str(&listing).unwrap()));
+        cluster.turn();
+        for mark in cluster.told(stream).split("ticket=").skip(1) {
+            cluster.ack(stream, mark.split_whitespace().next().unwrap().parse().unwrap());
         }
-        town.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id as u32 - 2) }]);
+        cluster.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id as u32 - 2) }]);
     }
-    assert_eq!((town.0.names.workers.count(), town.0.roster.counts()), (1, (1, 1)));
-    assert_eq!(town.0.names.workers.known("s-39"), Some(38), "ids are not given out again");
+    assert_eq!((cluster.0.names.workers.count(), cluster.0.roster.counts()), (1, (1, 1)));
+    assert_eq!(cluster.0.names.workers.known("s-39"), Some(38), "ids are not given out again");
 }
 
-impl Town {
+impl TestCluster {
     fn list(&mut self, version: u64, entries: &[(&str, &str)]) {
         let entry = |(id, lifecycle): &(&str, &str)| {
             let about = r#""hostPort":"127.0.0.1:1","zone":"a","weight":1"#;
@@ -247,7 +250,7 @@
         };
         let entries: Vec<String> = entries.iter().map(entry).collect();
         let listing = format!(r#"{{"generation":{version},"instances":[{}]}}"#, entries.join(","));
-        self.0.hear(News::Listing(serde_json::from_str(&listing).unwrap()));
+        self.0.hear(Inbound::Listing(serde_json::from_str(&listing).unwrap()));
     }
 
     fn ask(&mut self, number: u64, wishes: &[(&str, Wanted)]) -> Verdict {
@@ -284,37 +287,37 @@
 
 #[test]
 fn a_change_is_taken_over_whole_in_the_turn_it_is_asked_or_refused_and_nothing_changes() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.list(5, &[("s-2", "ready")]);
-    town.settle(stream);
-    let refused = town.ask(2, &[("s-1", Wanted::Out), ("s-2", Wanted::Draining)]).unwrap_err();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.list(5, &[("s-2", "ready")]);
+    cluster.settle(stream);
+    let refused = cluster.ask(2, &[("s-1", Wanted::Out), ("s-2", Wanted::Draining)]).unwrap_err();
     assert_eq!(refused[0].tag(), "no-ready-worker");
-    assert!(town.0.heard.is_empty() && town.0.progress.all().next().is_none());
-    assert_eq!(town.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
-    let heard = town.turn();
+    assert!(cluster.0.heard.is_empty() && cluster.0.progress.all().next().is_none());
+    assert_eq!(cluster.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
+    let heard = cluster.turn();
     assert!(
         matches!(&heard[..], [Event::Figures(of), Event::List { kind: ListKind::Changes, workers, .. }]
         if of.drain_grace == 2500.0 && workers.len() == 1 && workers[0].phase == Phase::Draining),
         "{heard:?}"
     );
-    let told = town.told(stream);
+    let told = cluster.told(stream);
     assert!(told.contains("out=s-1"), "{told}");
-    town.0.look(1e18);
-    assert_eq!(town.0.state().changes[0].held_by, 0, "told and not answered is not held");
+    cluster.0.look(1e18);
+    assert_eq!(cluster.0.state().changes[0].held_by, 0, "told and not answered is not held");
     let mark = told.split("ticket=").nth(1).unwrap().trim().parse().unwrap();
-    town.ack(stream, mark);
-    town.settle(stream);
-    town.0.look(2e18);
-    let change = &town.0.state().changes[0];
+    cluster.ack(stream, mark);
+    cluster.settle(stream);
+    cluster.0.look(2e18);
+    let change = &cluster.0.state().changes[0];
     assert!(matches!(change.stage, juniperrail_intent::Stage::Held { .. }), "{change:?}");
     assert_eq!((change.number, change.held_by, change.joined), (2, 1, 1));
-    let told = &town.0.state().proxies[0];
+    let told = &cluster.0.state().proxies[0];
     assert_eq!(
         (told.shut_out.as_slice(), told.owed, told.mark_sent),
         (&["s-1".to_string()][..], 0, told.mark_answered)
     );
-    let lines = town.0.state().tables.into_iter().flat_map(|table| table.lines);
+    let lines = cluster.0.state().tables.into_iter().flat_map(|table| table.lines);
     assert_eq!(
         lines.map(|(worker, _)| worker).collect::<Vec<_>>(),
         ["s-1", "s-2"],
@@ -324,60 +327,65 @@
 
 #[test]
 fn discovery_and_the_operator_compose_in_what_the_module_is_told() {
-    let mut town = Town::new();
-    town.turn();
-    town.list(5, &[("s-2", "ready"), ("s-3", "draining")]);
-    town.turn();
-    assert_eq!(town.ask(2, &[("s-3", Wanted::Ready), ("s-9", Wanted::Ready)]), Ok(()));
-    let phase = |town: &Town, name: &str| town.phases().into_iter().find(|w| w.0 == name).map(|w| (w.1, w.2));
-    assert_eq!(phase(&town, "s-3"), Some((Phase::Ready, "operator")));
-    assert_eq!(phase(&town, "s-9"), None, "who is named and placed nowhere waits");
-    town.list(6, &[("s-3", "gone")]);
-    town.turn();
-    assert_eq!(phase(&town, "s-3"), Some((Phase::Gone, "discovery")));
-    assert_eq!(town.ask(3, &[("s-3", Wanted::Follow)]), Ok(()));
-    assert_eq!(town.ask(4, &[("s-3", Wanted::Ready)]), Ok(()));
-    assert_eq!(phase(&town, "s-3"), Some((Phase::Gone, "discovery")), "gone stays gone");
-    town.list(7, &[("s-3", "ready"), ("s-9", "draining")]);
-    assert_eq!(phase(&town, "s-3"), Some((Phase::Ready, "discovery")));
-    assert_eq!(phase(&town, "s-9"), Some((Phase::Draining, "discovery")));
+    let mut cluster = TestCluster::new();
+    cluster.turn();
+    cluster.list(5, &[("s-2", "ready"), ("s-3", "draining")]);
+    cluster.turn();
+    assert_eq!(cluster.ask(2, &[("s-3", Wanted::Ready), ("s-9", Wanted::Ready)]), Ok(()));
+    let phase = |cluster: &TestCluster, name: &str| {
+        cluster.phases().into_iter().find(|w| w.0 == name).map(|w| (w.1, w.2))
+    };
+    assert_eq!(phase(&cluster, "s-3"), Some((Phase::Ready, "operator")));
+    assert_eq!(phase(&cluster, "s-9"), None, "who is named and placed nowhere waits");
+    cluster.list(6, &[("s-3", "gone")]);
+    cluster.turn();
+    assert_eq!(phase(&cluster, "s-3"), Some((Phase::Gone, "discovery")));
+    assert_eq!(cluster.ask(3, &[("s-3", Wanted::Follow)]), Ok(()));
+    assert_eq!(cluster.ask(4, &[("s-3", Wanted::Ready)]), Ok(()));
+    assert_eq!(phase(&cluster, "s-3"), Some((Phase::Gone, "discovery")), "gone stays gone");
+    cluster.list(7, &[("s-3", "ready"), ("s-9", "draining")]);
+    assert_eq!(phase(&cluster, "s-3"), Some((Phase::Ready, "discovery")));
+    assert_eq!(phase(&cluster, "s-9"), Some((Phase::Draining, "discovery")));
 }
 
 #[test]
 fn whom_the_operator_took_out_is_forgotten_and_comes_back_by_another_id() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.list(5, &[("s-2", "ready")]);
-    town.settle(stream);
-    assert_eq!(town.ask(2, &[("s-2", Wanted::Out)]), Ok(()));
-    assert!(town.settle(stream).contains("out=s-2"));
-    let id = town.0.names.workers.known("s-2").unwrap();
-    town.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id) }]);
-    let again = town.0.names.workers.known("s-2").unwrap();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.list(5, &[("s-2", "ready")]);
+    cluster.settle(stream);
+    assert_eq!(cluster.ask(2, &[("s-2", Wanted::Out)]), Ok(()));
+    assert!(cluster.settle(stream).contains("out=s-2"));
+    let id = cluster.0.names.workers.known("s-2").unwrap();
+    cluster.0.hand_out(0.0, Vec::new(), vec![Order::Forget { worker: WorkerId(id) }]);
+    let again = cluster.0.names.workers.known("s-2").unwrap();
     assert_ne!(again, id);
     // A whole list names it still; it stays out.
-    town.list(6, &[("s-1", "ready"), ("s-2", "ready")]);
-    town.settle(stream);
-    assert_eq!(town.ask(3, &[]), Ok(()));
-    let heard = town.turn();
+    cluster.list(6, &[("s-1", "ready"), ("s-2", "ready")]);
+    cluster.settle(stream);
+    assert_eq!(cluster.ask(3, &[]), Ok(()));
+    let heard = cluster.turn();
     assert!(
         matches!(&heard[..], [Event::List { workers, .. }]
         if workers[0].worker == WorkerId(again) && workers[0].phase == Phase::Ready),
         "{heard:?}"
     );
-    assert!(town.0.plane.doubts(WorkerId(again)), "it is shut out under the old id, and has to be let back");
+    assert!(
+        cluster.0.plane.doubts(WorkerId(again)),
+        "it is shut out under the old id, and has to be let back"
+    );
 }
 
 #[test]
 fn decisions_that_start_anew_keep_what_the_operator_wants() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.list(5, &[("s-2", "ready")]);
-    town.settle(stream);
-    assert_eq!(town.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
-    town.settle(stream);
-    town.0.turn_by(|_, _, _| panic!("out of range"));
-    let heard = town.turn();
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.list(5, &[("s-2", "ready")]);
+    cluster.settle(stream);
+    assert_eq!(cluster.ask(2, &[("s-1", Wanted::Draining)]), Ok(()));
+    cluster.settle(stream);
+    cluster.0.turn_by(|_, _, _| panic!("out of range"));
+    let heard = cluster.turn();
     let Event::List { workers, .. } = &heard[0] else { panic!("{heard:?}") };
     assert_eq!(workers.iter().map(|w| w.phase).collect::<Vec<_>>(), [Phase::Draining, Phase::Ready]);
     assert!(matches!(&heard[1], Event::Figures(of) if of.drain_grace == 2500.0));
@@ -385,24 +393,24 @@
 
 #[test]
 fn a_full_channel_and_a_drain_near_its_grace_are_told() {
-    let mut town = Town::new();
-    let stream = town.join(true);
-    town.list(5, &[("s-2", "ready")]);
-    town.settle(stream);
-    town.list(6, &[("s-1", "draining")]);
-    town.turn();
-    let now = town.0.clock.now();
-    assert_eq!(town.0.strains(now), Vec::<String>::new(), "not yet");
-    let most = std::mem::replace(&mut town.0.start.lines_waiting_most, 5.0);
-    let full = town.0.strains(now);
+    let mut cluster = TestCluster::new();
+    let stream = cluster.join(true);
+    cluster.list(5, &[("s-2", "ready")]);
+    cluster.settle(stream);
+    cluster.list(6, &[("s-1", "draining")]);
+    cluster.turn();
+    let now = cluster.0.clock.now();
+    assert_eq!(cluster.0.strains(now), Vec::<String>::new(), "not yet");
+    let most = std::mem::replace(&mut cluster.0.start.lines_waiting_most, 5.0);
+    let full = cluster.0.strains(now);
     assert!(matches!(&full[..], [full] if full.ends_with("of 5 lines wait in the channel")), "{full:?}");
-    town.0.start.lines_waiting_most = most;
-    let late = town.0.strains(now + 2000.0);
+    cluster.0.start.lines_waiting_most = most;
+    let late = cluster.0.strains(now + 2000.0);
     assert!(
         matches!(&late[..], [late] if late.starts_with("1 of 1 proxies have not answered for 1 workers")
             && late.contains("s-1 for 20") && late.ends_with("ms of 3000")),
         "{late:?}"
     );
-    town.settle(stream);
-    assert_eq!(town.0.strains(now + 2000.0), Vec::<String>::new(), "answered");
+    cluster.settle(stream);
+    assert_eq!(cluster.0.strains(now + 2000.0), Vec::<String>::new(), "answered");
 }
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -11,9 +11,9 @@
 
 use crate::fault::Fault;
 use crate::http;
+use crate::inbound::Inbound;
 use crate::lines::LineBuffer;
 use crate::listing::Listing;
-use crate::news::News;
 
 /// An empty line comes this often while nothing changes.
 const HEARTBEAT: Duration = Duration::from_secs(2);
@@ -38,13 +38,13 @@
     /// Since when it has told older lists than the one held.
     pub behind: Option<Instant>,
     pub rng: fastrand::Rng,
-    pub news: mpsc::Sender<News>,
+    pub inbound: mpsc::Sender<Inbound>,
 }
 
 impl Watch {
     /// Follows the list for good; a watch that breaks, or whose discovery moves, is dialled again with what
     /// is held.
-    pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>, afresh: &Notify) {
+    pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>, resync: &Notify) {
         let exchange = http::exchange(HEARTBEAT, SILENCE);
         let mut failures = 0;
         loop {
@@ -55,7 +55,7 @@
                     failures = 0;
                     continue;
                 }
-                () = afresh.notified() => {
+                () = resync.notified() => {
                     self.held = None;
                     continue;
                 }
@@ -123,7 +123,7 @@
                 }
                 self.behind.get_or_insert_with(Instant::now);
             } else {
-                if self.news.send(News::Listing(listing)).await.is_err() {
+                if self.inbound.send(Inbound::Listing(listing)).await.is_err() {
                     return Err(Fault::reading("nobody wants the list any more"));
                 }
                 // Only now: a watch given up while it waits to tell would count as told what nobody heard.
--- a/crates/manager/src/news.rs
+++ b/crates/manager/src/inbound.rs
@@ -14,7 +14,7 @@
 pub struct StreamId(pub u64);
 
 /// What comes in, in the order of each connection.
-pub enum News {
+pub enum Inbound {
     Listing(Listing),
     Joined {
         stream: StreamId,
@@ -27,7 +27,7 @@
     Said(Option<(StreamId, ProxyId)>, Result<Report, String>),
     Probed(WorkerId, Found),
     /// Somebody who never joined, and why.
-    TurnedAway(String),
+    Rejected(String),
 }
 
 /// The way to a proxy. Once it is dropped, the connection ends at once, whatever is still on its way.
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -17,13 +17,13 @@
 mod fault;
 mod fleet;
 mod http;
+mod inbound;
 mod launch;
+mod limiter;
 mod lines;
 mod listening;
 mod listing;
-mod news;
 mod north;
-mod places;
 mod plane;
 mod presence;
 mod probes;
@@ -47,7 +47,7 @@
 pub use launch::Launch;
 pub use reload::Reloader;
 
-/// News that may wait for the next turn; who brings more has to wait.
+/// Inbound that may wait for the next turn; who brings more has to wait.
 const INBOX: usize = 4096;
 
 /// Connections that may wait to be taken, at least: as many as the system's own listeners have.
@@ -121,43 +121,43 @@
     pub async fn serve(self) {
         let Manager { launch, listener, address, reloader, north, fleet } = self;
         let fixed = launch.fixed.clone();
-        let (news, inbox) = mpsc::channel(INBOX);
-        let afresh = Rc::new(Notify::new());
+        let (inbound, inbox) = mpsc::channel(INBOX);
+        let resync = Rc::new(Notify::new());
         let objectives = fixed.start.operations.iter().map(|op| op.latency_objective);
         // What answers later than an invocation should is as good as silent.
         let answer_within = Duration::from_secs_f64(objectives.fold(60_000.0, f64::min) / 1000.0);
-        let (zones, proxies) = (Rc::<places::Zones>::default(), fixed.start.proxies as u16);
+        let (zones, proxies) = (Rc::<limiter::Zones>::default(), fixed.start.proxies as u16);
         launch.zones.iter().for_each(|zone| zones.name(zone));
-        let budget = places::Budget::new(fixed.sockets, proxies.into(), launch.zones.len());
+        let budget = limiter::Budget::new(fixed.sockets, proxies.into(), launch.zones.len());
         let probes = probes::probes(fixed.dial_within, answer_within, budget.probes);
         let watch = discovery::Watch {
             held: launch.known.as_ref().map(|known| known.version),
             behind: None,
             rng: fastrand::Rng::with_seed(launch.seed),
-            news: news.clone(),
+            inbound: inbound.clone(),
         };
-        let doors = Rc::new(streams::Doors {
-            news: news.clone(),
+        let context = Rc::new(streams::AcceptorContext {
+            inbound: inbound.clone(),
             proxies,
             zones: zones.clone(),
-            strangers: places::Places::new(budget.strangers),
-            collectors: places::Places::new(budget.collectors),
+            unidentified: limiter::ConnectionLimiter::new(budget.unidentified),
+            collectors: limiter::ConnectionLimiter::new(budget.collectors),
             last: Default::default(),
             open: Default::default(),
             most: budget.open,
         });
         // Ends the north's thread as this is dropped.
         let (north, _north) = north.map(north::Northbound::start).unzip();
-        let decider = decider::Decider::new(launch, probes, &news, afresh.clone(), north, zones)
+        let decider = decider::Decider::new(launch, probes, &inbound, resync.clone(), north, zones)
             .in_common(fleet.as_ref().map(|fleet| fleet.common()));
-        drop(news);
+        drop(inbound);
         tracing::info!("{} serves on {address}", fixed.name);
         tracing::debug!("of {} descriptors beside {proxies} proxies: {budget:?}", fixed.sockets);
         let tasks = async {
             tokio::join!(
                 decider.run(inbox),
-                watch.run(reloader.discovery(), &afresh),
-                streams::accept(listener, doors, fixed.tick)
+                watch.run(reloader.discovery(), &resync),
+                streams::accept(listener, context, fixed.tick)
             );
         };
         LocalSet::new().run_until(tasks).await;
--- a/crates/manager/src/places.rs
+++ b/crates/manager/src/limiter.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-use crate::news::StreamId;
+use crate::inbound::StreamId;
 
 /// Descriptors that are nobody's: standard streams, the runtime's and the signals' own, the listener, a watch
 /// beside the one that follows it, a file that is read.
@@ -19,7 +19,7 @@
 pub struct Budget {
     /// Connections that may be open at once, of whatever kind.
     pub open: usize,
-    pub strangers: usize,
+    pub unidentified: usize,
     pub collectors: usize,
     pub probes: usize,
 }
@@ -32,7 +32,7 @@
         let probes = (left / 4).max(1);
         // Where the limit is told so low that nobody could come, the system's own limit is what holds.
         let open = sockets.saturating_sub(OWN + probes).max(sockets / 2);
-        Budget { open, strangers: left - left / 4, collectors, probes }
+        Budget { open, unidentified: left - left / 4, collectors, probes }
     }
 }
 
@@ -58,14 +58,14 @@
 }
 
 /// Connections of one kind, whoever was silent the longest first.
-pub struct Places {
+pub struct ConnectionLimiter {
     taken: RefCell<VecDeque<(StreamId, Rc<Notify>)>>,
     most: Cell<usize>,
 }
 
-impl Places {
-    pub fn new(most: usize) -> Places {
-        Places { taken: RefCell::default(), most: Cell::new(most) }
+impl ConnectionLimiter {
+    pub fn new(most: usize) -> ConnectionLimiter {
+        ConnectionLimiter { taken: RefCell::default(), most: Cell::new(most) }
     }
 
     /// From now on there may be so many, if not more already.
@@ -74,9 +74,9 @@
     }
 
     /// The one that is told here has to go once the answer is notified.
-    pub fn take(&self, id: StreamId) -> Rc<Notify> {
+    pub fn admit(&self, id: StreamId) -> Rc<Notify> {
         if self.taken.borrow().len() >= self.most.get() {
-            self.put_out();
+            self.evict();
         }
         let out = Rc::new(Notify::new());
         self.taken.borrow_mut().push_back((id, out.clone()));
@@ -84,13 +84,13 @@
     }
 
     /// False if it had no place any more: it was told to go.
-    pub fn leave(&self, id: StreamId) -> bool {
+    pub fn release(&self, id: StreamId) -> bool {
         let mut taken = self.taken.borrow_mut();
         let place = taken.iter().position(|(taken, _)| *taken == id);
         place.is_some_and(|place| taken.remove(place).is_some())
     }
 
-    pub fn spoke(&self, id: StreamId) {
+    pub fn touch(&self, id: StreamId) {
         let mut taken = self.taken.borrow_mut();
         if let Some(place) = taken.iter().position(|(taken, _)| *taken == id) {
             let last = taken.remove(place).expect("a known place");
@@ -99,7 +99,7 @@
     }
 
     /// Whoever was silent the longest has to go. False if there is nobody.
-    pub fn put_out(&self) -> bool {
+    pub fn evict(&self) -> bool {
         let first = self.taken.borrow_mut().pop_front();
         first.iter().for_each(|(_, out)| out.notify_one());
         first.is_some()
--- /dev/null
+++ b/crates/manager/src/limiter/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+#[test]
+fn all_proxies_fit_beside_strangers_collectors_and_probes() {
+    for (sockets, proxies) in [(256, 150), (384, 150), (512, 400), (1024, 400)] {
+        let Budget { open, unidentified, collectors, probes } = Budget::new(sockets, proxies, 3);
+        assert!(OWN + proxies + unidentified + collectors + probes <= sockets);
+        assert!(proxies + unidentified + collectors <= open);
+        assert!(unidentified > 2 * probes && probes > 0 && collectors > 3);
+    }
+    assert_eq!(Budget::new(24, 400, 3), Budget { open: 12, unidentified: 3, collectors: 12, probes: 1 });
+}
+
+#[test]
+fn who_was_silent_the_longest_gives_way() {
+    let limiter = ConnectionLimiter::new(2);
+    let out: Vec<Rc<Notify>> = [1, 2].map(|id| limiter.admit(StreamId(id))).into();
+    limiter.touch(StreamId(1));
+    limiter.admit(StreamId(3));
+    let told = |of: &Rc<Notify>| std::pin::pin!(of.notified()).as_mut().enable();
+    assert_eq!(out.iter().map(told).collect::<Vec<_>>(), [false, true]);
+}
--- a/crates/manager/src/plane.rs
+++ b/crates/manager/src/plane.rs
@@ -53,7 +53,7 @@
 }
 
 /// One message for one proxy, and its lines in the channel without its head.
-pub struct Parcel {
+pub struct OutboundMessage {
     pub proxy: ProxyId,
     pub bytes: Bytes,
     pub lines: usize,
@@ -118,7 +118,7 @@
     }
 
     /// One turn's orders, in their order, as one message for each proxy concerned.
-    pub fn messages(&mut self, orders: &[Order], names: &Names) -> Vec<Parcel> {
+    pub fn messages(&mut self, orders: &[Order], names: &Names) -> Vec<OutboundMessage> {
         let mut changes: BTreeMap<ProxyId, Change> = BTreeMap::new();
         for order in orders {
             self.take(order, names, &mut changes);
@@ -245,7 +245,7 @@
         }
     }
 
-    fn parcel(&mut self, id: ProxyId, mut change: Change, names: &Names) -> Parcel {
+    fn parcel(&mut self, id: ProxyId, mut change: Change, names: &Names) -> OutboundMessage {
         let proxy = &self.proxies[&id];
         let mut tables: BTreeSet<TableId> = change.whole.iter().chain(change.lines.keys()).copied().collect();
         tables.extend(change.levels.keys().filter_map(|op| proxy.bound.get(op)));
@@ -305,7 +305,7 @@
             p.lines.len() + p.out.len() + p.back.len() + single.iter().filter(|one| **one).count()
         };
         let (lines, mark) = (parts.iter().map(cost).sum(), change.mark);
-        let parcel = Parcel { proxy: id, bytes: text::write(&parts), lines, mark };
+        let parcel = OutboundMessage { proxy: id, bytes: text::write(&parts), lines, mark };
         self.proxies.get_mut(&id).expect("a joined proxy").told.extend(change.shut);
         parcel
     }
@@ -368,8 +368,8 @@
 
     /// What each proxy concerned is written, and the lines it counts.
     fn told(plane: &mut Plane, orders: &[Order]) -> Vec<(u16, String, usize)> {
-        let parcels = plane.messages(orders, &names()).into_iter();
-        parcels.map(|p| (p.proxy.0, String::from_utf8(p.bytes.to_vec()).unwrap(), p.lines)).collect()
+        let messages = plane.messages(orders, &names()).into_iter();
+        messages.map(|p| (p.proxy.0, String::from_utf8(p.bytes.to_vec()).unwrap(), p.lines)).collect()
     }
 
     #[test]
@@ -580,9 +580,9 @@
                     }
                 }
                 let orders = brain.turn(now, &std::mem::take(&mut events));
-                let parcels = plane.messages(&orders, &names);
-                mark += u64::from(!parcels.is_empty());
-                for Parcel { proxy, bytes, lines, .. } in parcels {
+                let messages = plane.messages(&orders, &names);
+                mark += u64::from(!messages.is_empty());
+                for OutboundMessage { proxy, bytes, lines, .. } in messages {
                     waits.insert((mark, proxy), lines as f64 + start.message_overhead);
                     let text = String::from_utf8(bytes.to_vec()).unwrap();
                     (whole, backs) =
--- a/crates/manager/src/presence.rs
+++ b/crates/manager/src/presence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::news::{Outbox, StreamId};
+use crate::inbound::{Outbox, StreamId};
 use bytes::Bytes;
 use juniperrail_interface::{MarkId, Ms, ProxyId, ZoneId};
 
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -18,9 +18,9 @@
 use tracing::Instrument;
 
 use crate::fault::{Fault, Reached};
+use crate::inbound::{Hello, Inbound, Outbox, StreamId};
+use crate::limiter::{ConnectionLimiter, Zones};
 use crate::lines::LineBuffer;
-use crate::news::{Hello, News, Outbox, StreamId};
-use crate::places::{Places, Zones};
 use crate::text::{self, Flaw, Message};
 
 /// Messages that may wait for a proxy that reads slowly, besides what its socket holds.
@@ -37,15 +37,15 @@
 const FAREWELL: usize = 64 << 10;
 
 /// What all connections share.
-pub struct Doors {
-    pub news: mpsc::Sender<News>,
+pub struct AcceptorContext {
+    pub inbound: mpsc::Sender<Inbound>,
     /// The proxies are numbered below this.
     pub proxies: u16,
     /// Nobody comes from a zone that neither the settings nor the list ever named.
     pub zones: Rc<Zones>,
     /// Connections that have not said who they are.
-    pub strangers: Places,
-    pub collectors: Places,
+    pub unidentified: ConnectionLimiter,
+    pub collectors: ConnectionLimiter,
     pub last: Cell<u64>,
     /// Connections that are open, and how many may be: beyond are the descriptors of the watch and the probes.
     pub open: Cell<usize>,
@@ -53,7 +53,7 @@
 }
 
 /// Takes connections for good.
-pub async fn accept(listener: TcpListener, doors: Rc<Doors>, pause: Duration) {
+pub async fn accept(listener: TcpListener, context: Rc<AcceptorContext>, pause: Duration) {
     let (mut failing, mut full) = (false, false);
     loop {
         let taken = listener.accept().await;
@@ -62,22 +62,22 @@
             Ok((socket, from)) => {
                 // Guards against proxies that take the last descriptors: the watch could not be dialled again. A
                 // stranger gives way; where there is none the newcomer does, and whoever joined is kept.
-                let over = doors.open.get() >= doors.most;
+                let over = context.open.get() >= context.most;
                 if over && !std::mem::replace(&mut full, over) {
-                    tracing::warn!("{} connections are open: no room for all who come", doors.most);
+                    tracing::warn!("{} connections are open: no room for all who come", context.most);
                 }
                 full = over;
-                if over && !doors.strangers.put_out() {
+                if over && !context.unidentified.evict() {
                     drop(socket);
                     yield_now().await;
                     continue;
                 }
-                doors.open.set(doors.open.get() + 1);
-                doors.last.set(doors.last.get() + 1);
-                let id = StreamId(doors.last.get());
-                let put_out = doors.strangers.take(id);
-                let life = life(id, socket, put_out, doors.clone());
-                spawn_local(end(id, from, life, doors.clone()));
+                context.open.set(context.open.get() + 1);
+                context.last.set(context.last.get() + 1);
+                let id = StreamId(context.last.get());
+                let evicted = context.unidentified.admit(id);
+                let life = life(id, socket, evicted, context.clone());
+                spawn_local(end(id, from, life, context.clone()));
                 // Guards against putting out, in a rush, who has joined already but was not yet read.
                 yield_now().await;
             }
@@ -86,7 +86,7 @@
                 if !failed_before {
                     tracing::error!("no connection can be taken: {cause}");
                 }
-                doors.strangers.put_out();
+                context.unidentified.evict();
                 sleep(pause).await;
             }
         }
@@ -98,7 +98,7 @@
     id: StreamId,
     from: SocketAddr,
     life: impl Future<Output = Result<(), Fault>> + 'static,
-    doors: Rc<Doors>,
+    context: Rc<AcceptorContext>,
 ) {
     // At debug, so that a stream pays nothing for it in an ordinary day.
     let connection = tracing::debug_span!("connection", %from, stream = id.0);
@@ -110,51 +110,56 @@
             Some(format!("{from}: {panic}"))
         }
     };
-    doors.open.set(doors.open.get() - 1);
+    context.open.set(context.open.get() - 1);
     tracing::debug!("the connection from {from} ended: {why:?}");
-    _ = doors.strangers.leave(id) || doors.collectors.leave(id);
-    _ = doors.news.send(News::Ended(id, why)).await;
+    _ = context.unidentified.release(id) || context.collectors.release(id);
+    _ = context.inbound.send(Inbound::Ended(id, why)).await;
 }
 
 /// One connection, from its introduction to its end.
-async fn life(id: StreamId, socket: TcpStream, put_out: Rc<Notify>, doors: Rc<Doors>) -> Result<(), Fault> {
+async fn life(
+    id: StreamId,
+    socket: TcpStream,
+    evicted: Rc<Notify>,
+    context: Rc<AcceptorContext>,
+) -> Result<(), Fault> {
     socket.set_nodelay(true).map_err(Fault::io(Reached::Dialling))?;
     let (read, mut write) = socket.into_split();
     let mut lines = Lines { read, buffer: LineBuffer::default(), checked: 0 };
     let first = tokio::select! {
         biased;
-        first = introduction(&mut lines, &mut write, &doors) => first,
-        () = put_out.notified() => return Ok(()),
+        first = introduction(&mut lines, &mut write, &context) => first,
+        () = evicted.notified() => return Ok(()),
         () = sleep(JOIN_WITHIN) => Err(Fault { late: true, ..Fault::reading("it did not join in time") }),
     };
     let first = match first {
         Ok(Some(first)) => first,
         Ok(None) => return Ok(()),
         Err(fault) => {
-            _ = doors.news.send(News::TurnedAway(fault.to_string())).await;
+            _ = context.inbound.send(Inbound::Rejected(fault.to_string())).await;
             tokio::select! {
-                () = put_out.notified() => {}
-                () = turn_away(&fault, lines, write) => {}
+                () = evicted.notified() => {}
+                () = reject(&fault, lines, write) => {}
             }
             return Ok(());
         }
     };
     // Guards against more connections than there may be: whoever was told to go has given its descriptor to
     // another, also where its introduction came at that very moment.
-    if !doors.strangers.leave(id) {
+    if !context.unidentified.release(id) {
         return Ok(());
     }
     match first {
         Message::Hello { proxy, zone, inv_per_second, fresh } => {
             let hello = Hello { proxy, zone, inv_per_second, fresh };
-            proxy_stream(id, hello, lines, write, doors).await
+            proxy_stream(id, hello, lines, write, context).await
         }
         _ => {
-            doors.collectors.allow(doors.zones.collectors());
-            let put_out = doors.collectors.take(id);
+            context.collectors.allow(context.zones.collectors());
+            let evicted = context.collectors.admit(id);
             tokio::select! {
-                end = collector(id, lines, write, doors) => end,
-                () = put_out.notified() => Ok(()),
+                end = collector(id, lines, write, context) => end,
+                () = evicted.notified() => Ok(()),
             }
         }
     }
@@ -164,7 +169,7 @@
 async fn introduction(
     lines: &mut Lines,
     write: &mut OwnedWriteHalf,
-    doors: &Doors,
+    context: &AcceptorContext,
 ) -> Result<Option<Message>, Fault> {
     while let Some(line) = lines.next(text::LONGEST_FIRST).await? {
         let why = match text::read(&line) {
@@ -172,10 +177,12 @@
                 write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?;
                 continue;
             }
-            Ok(Message::Hello { proxy, .. }) if proxy >= doors.proxies => {
+            Ok(Message::Hello { proxy, .. }) if proxy >= context.proxies => {
                 format!("there is no proxy {proxy}")
             }
-            Ok(Message::Hello { ref zone, .. } | Message::Agent { ref zone }) if !doors.zones.known(zone) => {
+            Ok(Message::Hello { ref zone, .. } | Message::Agent { ref zone })
+                if !context.zones.known(zone) =>
+            {
                 format!("there is no zone {zone:?}")
             }
             Ok(Message::Report(_)) => "a report came before any introduction".into(),
@@ -188,9 +195,9 @@
 }
 
 /// Says `error` and ends the connection so that the peer sees its end: closing on bytes unread would reset it.
-async fn turn_away(fault: &Fault, mut lines: Lines, mut write: OwnedWriteHalf) {
+async fn reject(fault: &Fault, mut lines: Lines, mut write: OwnedWriteHalf) {
     // Who does not even take this gets the end alone.
-    _ = write.try_write(if fault.late { text::LATE } else { text::TURNED_AWAY });
+    _ = write.try_write(if fault.late { text::LATE } else { text::REJECTED });
     _ = write.shutdown().await;
     _ = timeout(JOIN_WITHIN, async {
         let mut left = FAREWELL;
@@ -211,17 +218,17 @@
     hello: Hello,
     mut lines: Lines,
     mut write: OwnedWriteHalf,
-    doors: Rc<Doors>,
+    context: Rc<AcceptorContext>,
 ) -> Result<(), Fault> {
     let from = Some((id, ProxyId(hello.proxy)));
     let (orders, mut waiting, given_up) = Outbox::new(WAITING);
     // Beside the orders, so that a burst of probes takes no order's place.
     let (probed, mut probes) = mpsc::channel(WAITING);
-    _ = doors.news.send(News::Joined { stream: id, hello, orders }).await;
+    _ = context.inbound.send(Inbound::Joined { stream: id, hello, orders }).await;
     let reading = async {
         while let Some(line) = lines.next(text::LONGEST).await? {
             match heard(&line, from)? {
-                Some(news) => _ = doors.news.send(news).await,
+                Some(inbound) => _ = context.inbound.send(inbound).await,
                 // Who asks faster than it reads the answers waits with its next lines.
                 None => _ = probed.send(()).await,
             }
@@ -260,12 +267,12 @@
     id: StreamId,
     mut lines: Lines,
     mut write: OwnedWriteHalf,
-    doors: Rc<Doors>,
+    context: Rc<AcceptorContext>,
 ) -> Result<(), Fault> {
     while let Some(line) = lines.next(text::LONGEST).await? {
-        doors.collectors.spoke(id);
+        context.collectors.touch(id);
         match heard(&line, None)? {
-            Some(news) => _ = doors.news.send(news).await,
+            Some(inbound) => _ = context.inbound.send(inbound).await,
             None => write.write_all(&text::ALIVE).await.map_err(Fault::io(Reached::Sent))?,
         }
     }
@@ -274,12 +281,12 @@
 
 /// What a line of one who joined says; `None` is a probe. One spoilt message among sound ones costs itself
 /// alone; what is no message at all ends the connection.
-fn heard(line: &[u8], from: Option<(StreamId, ProxyId)>) -> Result<Option<News>, Fault> {
+fn heard(line: &[u8], from: Option<(StreamId, ProxyId)>) -> Result<Option<Inbound>, Fault> {
     Ok(match text::read(line) {
         Ok(Message::Probe) => None,
-        Ok(Message::Report(report)) => Some(News::Said(from, Ok(report))),
-        Ok(other) => Some(News::Said(from, Err(format!("out of place: {other:?}")))),
-        Err(Flaw::Spoilt(why)) => Some(News::Said(from, Err(why))),
+        Ok(Message::Report(report)) => Some(Inbound::Said(from, Ok(report))),
+        Ok(other) => Some(Inbound::Said(from, Err(format!("out of place: {other:?}")))),
+        Err(Flaw::Spoilt(why)) => Some(Inbound::Said(from, Err(why))),
         Err(Flaw::Unreadable(why)) => return Err(Fault::reading(why)),
     })
 }
--- a/crates/manager/src/streams/tests.rs
+++ b/crates/manager/src/streams/tests.rs
@@ -2,18 +2,20 @@
 
 #[tokio::test]
 async fn a_panic_in_a_connection_ends_that_connection_alone() {
-    let (news, mut told) = mpsc::channel(8);
-    let (strangers, collectors, last) = (Places::new(1), Places::new(1), Cell::default());
+    let (inbound, mut told) = mpsc::channel(8);
+    let (unidentified, collectors, last) =
+        (ConnectionLimiter::new(1), ConnectionLimiter::new(1), Cell::default());
     let zones = Rc::default();
     let (open, most) = (Cell::new(2), 2);
-    let doors = Rc::new(Doors { news, proxies: 1, zones, strangers, collectors, last, open, most });
+    let context =
+        Rc::new(AcceptorContext { inbound, proxies: 1, zones, unidentified, collectors, last, open, most });
     let from = "127.0.0.1:1".parse().unwrap();
     let tasks = tokio::task::LocalSet::new();
-    tasks.spawn_local(end(StreamId(1), from, async { panic!("out of range") }, doors.clone()));
-    tasks.spawn_local(end(StreamId(2), from, async { Err(Fault::reading("half a line")) }, doors));
+    tasks.spawn_local(end(StreamId(1), from, async { panic!("out of range") }, context.clone()));
+    tasks.spawn_local(end(StreamId(2), from, async { Err(Fault::reading("half a line")) }, context));
     let mut ended = Vec::new();
     tasks.await;
-    while let Ok(News::Ended(id, why)) = told.try_recv() {
+    while let Ok(Inbound::Ended(id, why)) = told.try_recv() {
         ended.push((id.0, why.unwrap()));
     }
     ended.sort();
--- a/crates/manager/src/text.rs
+++ b/crates/manager/src/text.rs
@@ -16,7 +16,7 @@
 pub const PARTS: usize = 64;
 pub const ALIVE: Bytes = Bytes::from_static(b"alive\r\n");
 pub const LATE: &[u8] = b"error why=late\r\n";
-pub const TURNED_AWAY: &[u8] = b"error why=unreadable\r\n";
+pub const REJECTED: &[u8] = b"error why=unreadable\r\n";
 
 /// What a peer said. Names stay names: who they belong to is known elsewhere.
 #[derive(Debug, PartialEq)]
--- a/crates/manager/tests/town/mod.rs
+++ b/crates/manager/tests/cluster/mod.rs
@@ -31,18 +31,18 @@
     )
 }
 
-pub struct Town {
+pub struct TestCluster {
     pub manager: SocketAddr,
     pub discovery: TcpListener,
     pub stop: Option<tokio::sync::oneshot::Sender<()>>,
 }
 
-impl Town {
-    pub fn new(sockets: usize) -> Town {
-        Town::with(|discovery| config(discovery, sockets))
+impl TestCluster {
+    pub fn new(sockets: usize) -> TestCluster {
+        TestCluster::with(|discovery| config(discovery, sockets))
     }
 
-    pub fn with(config: impl FnOnce(SocketAddr) -> String) -> Town {
+    pub fn with(config: impl FnOnce(SocketAddr) -> String) -> TestCluster {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(discovery.local_addr().unwrap());
         let (tell, told) = mpsc::channel();
@@ -55,7 +55,7 @@
                 tokio::select! { () = manager.serve() => {}, _ = stopped => {} }
             });
         });
-        Town { manager: told.recv().unwrap(), discovery, stop: Some(stop) }
+        TestCluster { manager: told.recv().unwrap(), discovery, stop: Some(stop) }
     }
 
     pub fn peer(&self) -> Peer {
--- a/crates/manager/tests/crossings.rs
+++ b/crates/manager/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! Two events that cross, each pair forced into its bad order by what a peer holds back, or by the program being stopped
 //! while both come: never by a time that is hoped for.
 
-mod town;
+mod cluster;
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use cluster::{config, entry, watch, Program, TestCluster};
 use juniperrail_standins::{entry as entry_at, list, Answering, Peer, SETTINGS};
-use town::{config, entry, watch, Program, Town};
 
 const NOBODY: &str = "127.0.0.1:1";
 
@@ -50,17 +50,17 @@
 
 #[test]
 fn a_stream_that_another_replaced_ends_at_once_with_what_is_queued_for_it() {
-    let town = Town::with(wide);
+    let cluster = TestCluster::with(wide);
     let name = "x".repeat(250);
-    let mut old = Peer::narrow(town.manager);
+    let mut old = Peer::narrow(cluster.manager);
     old.say("hello node=1 locality=a w=2 cold=1");
-    let mut other = town.proxy(2);
+    let mut other = cluster.proxy(2);
     other.line_with("whole=1");
     let draining = entry_at(&format!("s-7-{name}"), "a", "127.0.0.1:9", "draining");
-    town.watch("200 OK").1.chunk(&(list(42, false, &[draining]) + "\n"));
+    cluster.watch("200 OK").1.chunk(&(list(42, false, &[draining]) + "\n"));
     // Told in one turn to both: behind the table that the old stream does not take.
     other.line_with("out=s-7-");
-    let mut new = town.proxy(1);
+    let mut new = cluster.proxy(1);
     new.line_with("whole=1");
     let told = old.rest();
     assert!(
@@ -72,12 +72,12 @@
 
 #[test]
 fn an_introduction_that_comes_late_over_an_older_connection_takes_no_stream_away() {
-    let town = Town::new(64);
+    let cluster = TestCluster::new(64);
     // Whoever does not join within 1 s is told so: on a machine so busy the story begins anew.
     for _ in 0..20 {
-        let mut old = town.peer();
+        let mut old = cluster.peer();
         old.raw("hello node=7 locality=a w=21.5");
-        let mut new = town.proxy(7);
+        let mut new = cluster.proxy(7);
         new.line_with("whole=1");
         old.raw(" cold=1\r\n");
         match old.line() {
@@ -118,21 +118,21 @@
 
 #[test]
 fn a_burst_of_probes_is_answered_whole_and_takes_no_orders_place() {
-    let town = Town::new(64);
-    let mut proxy = town.proxy(1);
+    let cluster = TestCluster::new(64);
+    let mut proxy = cluster.proxy(1);
     proxy.line_with("whole=1");
     proxy.raw(&"probe\r\n".repeat(500));
     for place in 0..500 {
         assert_eq!(proxy.line().as_deref(), Some("alive"), "answer {place}");
     }
-    town.watch("200 OK").1.chunk(&(list(42, false, &[entry("s-2", "draining")]) + "\n"));
+    cluster.watch("200 OK").1.chunk(&(list(42, false, &[entry("s-2", "draining")]) + "\n"));
     proxy.line_with("out=s-2");
 }
 
 #[test]
 fn a_watch_that_drips_without_ever_ending_a_line_is_dialled_again() {
-    let town = Town::new(64);
-    let (_, mut agent) = town.watch("200 OK");
+    let cluster = TestCluster::new(64);
+    let (_, mut agent) = cluster.watch("200 OK");
     agent.chunk(&(list(42, false, &[entry("s-1", "draining")]) + "\n"));
     let (stop, stopped) = std::sync::mpsc::channel::<()>();
     let dripping = thread::spawn(move || {
@@ -145,7 +145,7 @@
         }
         false
     });
-    let asked = accepted(&town.discovery);
+    let asked = accepted(&cluster.discovery);
     if asked.is_none() {
         drop(stop);
     }
@@ -171,15 +171,15 @@
 
 #[test]
 fn a_list_older_than_the_one_held_brings_nobody_back_until_discovery_counts_anew() {
-    let town = Town::new(64);
-    let mut proxy = Answering::joined(town.manager, 1);
+    let cluster = TestCluster::new(64);
+    let mut proxy = Answering::joined(cluster.manager, 1);
     proxy.line_with("whole=1");
-    let (_, mut agent) = town.watch("200 OK");
+    let (_, mut agent) = cluster.watch("200 OK");
     agent.chunk(&(list(42, false, &[entry("s-1", "draining")]) + "\n"));
     proxy.line_with("out=s-1");
     drop(agent);
     // An agent that is behind tells all it knows, then what it is told itself.
-    let (asked, mut agent) = town.watch("200 OK");
+    let (asked, mut agent) = cluster.watch("200 OK");
     assert!(asked.contains("index=42"), "{asked}");
     let whole = list(41, true, &["s-1", "s-2", "s-3"].map(|id| entry(id, "ready")));
     agent.chunk(&(whole.clone() + "\n"));
@@ -189,12 +189,12 @@
     assert!(!told.contains("s-1"), "{told}");
     drop(agent);
     // Discovery that counts anew stays behind: after 6 s its word is taken, whatever its number.
-    let (asked, mut agent) = town.watch("200 OK");
+    let (asked, mut agent) = cluster.watch("200 OK");
     assert!(asked.contains("index=43"), "{asked}");
     agent.chunk(&(list(1, true, &[]) + "\n"));
     let again = loop {
         if agent.try_raw("1\r\n\n\r\n").is_err() {
-            break watch(&town.discovery, "200 OK");
+            break watch(&cluster.discovery, "200 OK");
         }
         thread::sleep(Duration::from_millis(500));
     };
@@ -304,11 +304,11 @@
 
 #[test]
 fn an_answer_whose_head_never_ends_is_given_up_and_its_connection_ended() {
-    let town = Town::new(64);
-    let mut agent = Peer::new(town.discovery.accept().unwrap().0);
+    let cluster = TestCluster::new(64);
+    let mut agent = Peer::new(cluster.discovery.accept().unwrap().0);
     assert!(agent.line().is_some_and(|asked| asked.starts_with("GET /v1/servers?stream=1")));
     agent.raw("HTTP/1.1 200 OK\r\nX-Never: a");
-    assert!(accepted(&town.discovery).is_some(), "it is dialled again");
+    assert!(accepted(&cluster.discovery).is_some(), "it is dialled again");
     // Nothing more is taken on the first; what is sent meets its end.
     let until = Instant::now() + Duration::from_secs(20);
     while agent.try_raw("a").is_ok() {
@@ -367,13 +367,13 @@
 
 #[test]
 fn a_proxy_that_closes_only_its_sending_half_has_left() {
-    let town = Town::new(64);
-    let mut half = town.proxy(1);
+    let cluster = TestCluster::new(64);
+    let mut half = cluster.proxy(1);
     let mark = half.line_with("ticket=").split("ticket=").nth(1).unwrap().to_string();
     half.say(&format!("ack node=1 nonce={mark} latency=1.0"));
     half.close_sending();
     half.rest();
-    let mut again = town.proxy(1);
+    let mut again = cluster.proxy(1);
     again.line_with("whole=1");
     again.alive();
 }
@@ -395,14 +395,14 @@
 
 #[test]
 fn a_drain_comes_through_while_collectors_flood() {
-    let town = Town::new(64);
-    let mut proxy = Answering::joined(town.manager, 1);
+    let cluster = TestCluster::new(64);
+    let mut proxy = Answering::joined(cluster.manager, 1);
     proxy.line_with("whole=1");
-    let (_, mut agent) = town.watch("200 OK");
+    let (_, mut agent) = cluster.watch("200 OK");
     let stopped = Arc::new(AtomicBool::new(false));
     let floods: Vec<_> = (0..4)
         .map(|_| {
-            let (mut collector, stopped) = (town.peer(), stopped.clone());
+            let (mut collector, stopped) = (cluster.peer(), stopped.clone());
             thread::spawn(move || {
                 collector.say("agent locality=a");
                 let report =
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! Stories on real sockets: a manager, and stand-ins for discovery, proxies and collectors.
 
-mod town;
+mod cluster;
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -8,22 +8,22 @@
 use std::thread;
 use std::time::Duration;
 
+use cluster::{config, entry, watch, TestCluster};
 use juniperrail_standins::{address_served, list, Peer, SETTINGS};
-use town::{config, entry, watch, Town};
 
 #[test]
 fn a_proxy_that_joins_is_given_the_whole_table_of_the_list_last_held() {
-    let town = Town::new(64);
-    town.peer().alive();
-    let told = town.proxy(7).line_with("whole=1");
+    let cluster = TestCluster::new(64);
+    cluster.peer().alive();
+    let told = cluster.proxy(7).line_with("whole=1");
     assert!(told.starts_with("push ") && told.contains("lines=s-1:1,s-2:1,s-3:1"), "{told}");
     assert!(told.contains("level=1000000 retry=1") && told.contains("ticket="), "{told}");
 }
 
 #[test]
 fn messages_come_in_pieces_or_many_at_once() {
-    let town = Town::new(64);
-    let mut peer = town.peer();
+    let cluster = TestCluster::new(64);
+    let mut peer = cluster.peer();
     for piece in ["pro", "be\r", "\nprobe\r\nhello node=3 loc", "ality=b w=1 cold=0\r\npro", "be\r\n"] {
         peer.raw(piece);
     }
@@ -34,21 +34,21 @@
 
 #[test]
 fn a_new_stream_of_a_proxy_takes_the_place_of_the_old_one() {
-    let town = Town::new(64);
-    let mut old = town.proxy(7);
+    let cluster = TestCluster::new(64);
+    let mut old = cluster.proxy(7);
     old.line_with("whole=1");
-    let mut new = town.proxy(7);
+    let mut new = cluster.proxy(7);
     new.line_with("whole=1");
     assert_eq!(old.line(), None, "the old stream is ended");
     new.alive();
-    town.watch("200 OK").1.chunk(&(list(42, false, &[entry("s-2", "draining")]) + "\n"));
+    cluster.watch("200 OK").1.chunk(&(list(42, false, &[entry("s-2", "draining")]) + "\n"));
     new.line_with("out=s-2");
 }
 
 #[test]
 fn a_spoilt_message_costs_itself_alone() {
-    let town = Town::new(64);
-    let (mut proxy, mut collector) = (town.proxy(1), town.peer());
+    let cluster = TestCluster::new(64);
+    let (mut proxy, mut collector) = (cluster.proxy(1), cluster.peer());
     proxy.line_with("whole=1");
     collector.say("agent locality=a");
     for spoilt in [
@@ -74,30 +74,30 @@
 
 #[test]
 fn what_cannot_be_read_as_messages_ends_the_one_connection_concerned() {
-    let town = Town::new(64);
-    let mut sound = town.proxy(1);
+    let cluster = TestCluster::new(64);
+    let mut sound = cluster.proxy(1);
     sound.line_with("whole=1");
     // Also where no end of a line ever comes.
     for (number, bad) in (2..).zip(["shout\r\n", "\r\n", "GET / HTTP/1.1", "\u{16}\u{3}\u{1}", "ack \0"]) {
-        let mut proxy = town.proxy(number);
+        let mut proxy = cluster.proxy(number);
         proxy.line_with("whole=1");
         proxy.raw(bad);
         while proxy.line().is_some() {}
-        town.proxy(number).line_with("whole=1");
-        let mut collector = town.peer();
+        cluster.proxy(number).line_with("whole=1");
+        let mut collector = cluster.peer();
         collector.say("agent locality=b");
         collector.alive();
         collector.raw(bad);
         assert_eq!(collector.line(), None, "{bad:?}");
     }
-    drop(town.proxy(9));
+    drop(cluster.proxy(9));
     sound.alive();
 }
 
 #[test]
 fn strangers_are_told_an_error_and_see_their_connections_end() {
-    let town = Town::new(64);
-    let mut proxy = town.proxy(1);
+    let cluster = TestCluster::new(64);
+    let mut proxy = cluster.proxy(1);
     proxy.line_with("whole=1");
     let endless = "x".repeat(100_000);
     for (first, why) in [
@@ -112,12 +112,12 @@
         ("hello node=2 loca", "late"),
         ("", "late"),
     ] {
-        let mut stranger = town.peer();
+        let mut stranger = cluster.peer();
         stranger.raw(first);
         assert_eq!(stranger.line().as_deref(), Some(&*format!("error why={why}")), "{first:.20}");
         assert_eq!(stranger.line(), None, "{first:.20}");
     }
-    let mut asked = town.peer();
+    let mut asked = cluster.peer();
     asked.alive();
     assert_eq!(asked.line().as_deref(), Some("error why=late"), "a sign of life is no joining");
     proxy.alive();
@@ -125,11 +125,11 @@
 
 #[test]
 fn strangers_that_say_nothing_take_no_proxys_place() {
-    let town = Town::new(16);
-    let mut proxy = town.proxy(1);
+    let cluster = TestCluster::new(16);
+    let mut proxy = cluster.proxy(1);
     proxy.line_with("whole=1");
-    let mut strangers: Vec<Peer> = (0..4).map(|_| town.peer()).collect();
-    let last = town.proxy(2).line_with("whole=1");
+    let mut strangers: Vec<Peer> = (0..4).map(|_| cluster.peer()).collect();
+    let last = cluster.proxy(2).line_with("whole=1");
     assert!(last.contains("s-1"), "{last}");
     assert_eq!(strangers[0].line(), None, "the oldest is put out, before its time");
     strangers[3].alive();
@@ -138,8 +138,8 @@
 
 #[test]
 fn collectors_that_say_nothing_give_way_to_those_that_report() {
-    let town = Town::new(64);
-    let mut collectors: Vec<Peer> = (0..9).map(|_| town.peer()).collect();
+    let cluster = TestCluster::new(64);
+    let mut collectors: Vec<Peer> = (0..9).map(|_| cluster.peer()).collect();
     for (place, collector) in collectors.iter_mut().enumerate() {
         collector.say("agent locality=a");
         collector.alive();
@@ -178,9 +178,9 @@
 
 #[test]
 fn who_joined_is_kept_and_the_list_is_followed_where_descriptors_are_fewer_than_proxies() {
-    let town = Town::new(28);
-    let (_, mut agent) = town.watch("200 OK");
-    let mut proxies: Vec<Peer> = (0..20).map(|number| town.proxy(number)).collect();
+    let cluster = TestCluster::new(28);
+    let (_, mut agent) = cluster.watch("200 OK");
+    let mut proxies: Vec<Peer> = (0..20).map(|number| cluster.proxy(number)).collect();
     let joined: Vec<bool> = proxies
         .iter_mut()
         .map(|proxy| std::iter::from_fn(|| proxy.line()).any(|line| line.contains("whole=1")))
@@ -189,7 +189,7 @@
     assert!((4..20).contains(&kept), "{kept} of 20 fit");
     agent.chunk(&(list(42, false, &[entry("s-1", "draining")]) + "\n"));
     drop(agent);
-    let (asked, mut agent) = town.watch("200 OK");
+    let (asked, mut agent) = cluster.watch("200 OK");
     assert!(asked.contains("index=42"), "there is a descriptor for the next watch: {asked}");
     agent.chunk(&(list(43, false, &[entry("s-2", "draining")]) + "\n"));
     let here = proxies.iter_mut().zip(joined).filter(|(_, joined)| *joined);
@@ -206,18 +206,18 @@
     let settings = SETTINGS
         .replace("\"n-instances\":1,", "\"n-instances\":1100,")
         .replace("\"pending-max\":5000", "\"pending-max\":50000");
-    let town = Town::with(|discovery| {
+    let cluster = TestCluster::with(|discovery| {
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f",
             "limits":{{"sockets":1024}},"known":{known},"settings":{settings}}}"#
         )
     });
-    let mut collectors: Vec<Peer> = (0..12).map(|_| town.peer()).collect();
+    let mut collectors: Vec<Peer> = (0..12).map(|_| cluster.peer()).collect();
     for (place, collector) in (0..).zip(&mut collectors) {
         collector.say(&format!("agent locality={}", zone(place)));
         collector.alive();
     }
-    let mut proxies: Vec<Peer> = (0..20).map(|_| town.peer()).collect();
+    let mut proxies: Vec<Peer> = (0..20).map(|_| cluster.peer()).collect();
     for (number, proxy) in (0..).zip(&mut proxies) {
         proxy.say(&format!("hello node={number} locality={} w=2 cold=1", zone(number)));
     }
@@ -236,8 +236,8 @@
 
 #[test]
 fn hundreds_of_streams_within_a_moment_are_all_taken() {
-    let town = Town::new(1024);
-    let mut proxies: Vec<Peer> = (0..400).map(|number| town.proxy(number % 20)).collect();
+    let cluster = TestCluster::new(1024);
+    let mut proxies: Vec<Peer> = (0..400).map(|number| cluster.proxy(number % 20)).collect();
     // Each new stream of a proxy ends the one before: only the last twenty are left, and all are served.
     proxies[380..].iter_mut().for_each(|proxy| _ = proxy.line_with("whole=1"));
     proxies[..380].iter_mut().for_each(|proxy| while proxy.line().is_some() {});
@@ -245,10 +245,10 @@
 
 #[test]
 fn the_watch_is_read_however_its_chunks_cut_lines() {
-    let town = Town::new(64);
-    let (asked, mut agent) = town.watch("200 OK");
+    let cluster = TestCluster::new(64);
+    let (asked, mut agent) = cluster.watch("200 OK");
     assert_eq!(asked, "GET /v1/servers?stream=1&index=41 HTTP/1.1");
-    let mut proxy = town.proxy(1);
+    let mut proxy = cluster.proxy(1);
     proxy.line_with("whole=1");
     let broken = r#"{"instanceId":"s-3"}"#.to_string();
     let first = list(42, false, &[broken, entry("s-1", "draining")]) + "\n";
@@ -268,33 +268,33 @@
 
 #[test]
 fn a_watch_that_breaks_is_dialled_again_with_the_version_held() {
-    let town = Town::new(64);
-    let (_, mut agent) = town.watch("200 OK");
+    let cluster = TestCluster::new(64);
+    let (_, mut agent) = cluster.watch("200 OK");
     agent.chunk(&(list(42, false, &[]) + "\n"));
     drop(agent);
-    let (asked, mut agent) = town.watch("200 OK");
+    let (asked, mut agent) = cluster.watch("200 OK");
     assert!(asked.contains("index=42"), "after an end: {asked}");
     agent.chunk("{\"generation\":\n");
-    let (asked, agent) = town.watch("503 Service Unavailable");
+    let (asked, agent) = cluster.watch("503 Service Unavailable");
     assert!(asked.contains("index=42"), "after what is no JSON: {asked}");
-    let (asked, silent) = town.watch("200 OK");
+    let (asked, silent) = cluster.watch("200 OK");
     assert!(asked.contains("index=42"), "after a refusal: {asked}");
-    let (asked, _) = town.watch("200 OK");
+    let (asked, _) = cluster.watch("200 OK");
     assert!(asked.contains("index=42"), "after a silence: {asked}");
     drop((agent, silent));
 }
 
 #[test]
 fn a_manager_that_is_stopped_ends_its_connections() {
-    let mut town = Town::new(64);
-    let mut proxy = town.proxy(1);
+    let mut cluster = TestCluster::new(64);
+    let mut proxy = cluster.proxy(1);
     proxy.line_with("whole=1");
-    drop(town.stop.take());
+    drop(cluster.stop.take());
     while proxy.line().is_some() {}
     // The listener goes with all the rest, in whatever order.
     let refused = (0..2000).any(|_| {
         thread::sleep(Duration::from_millis(10));
-        TcpStream::connect(town.manager).is_err()
+        TcpStream::connect(cluster.manager).is_err()
     });
     assert!(refused);
 }
--- a/crates/trials/src/wire.rs
+++ b/crates/trials/src/wire.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use juniperrail_council::{Entry, Index, MemberId, Message, Term, What};
-use juniperrail_fleet::Parcel;
+use juniperrail_fleet::PeerMessage;
 
 /// What a wire does with what it is given.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -138,7 +138,7 @@
 }
 
 impl Reader {
-    fn read(&mut self, bytes: &[u8], mut each: impl FnMut(Parcel)) {
+    fn read(&mut self, bytes: &[u8], mut each: impl FnMut(PeerMessage)) {
         self.bytes.extend_from_slice(bytes);
         while let Some((head, rest)) = self.bytes.split_first_chunk::<4>() {
             let length = u32::from_be_bytes(*head) as usize;
@@ -155,11 +155,11 @@
     }
 }
 
-fn look(from: MemberId, parcel: Parcel, seen: &mut Seen) {
+fn look(from: MemberId, parcel: PeerMessage, seen: &mut Seen) {
     seen.messages += 1;
     let (term, entries) = match parcel {
-        Parcel::Council(Message::Append { term, entries, .. }) => (term, entries),
-        Parcel::Council(Message::Install { term, .. }) => (term, Vec::new()),
+        PeerMessage::Council(Message::Append { term, entries, .. }) => (term, entries),
+        PeerMessage::Council(Message::Install { term, .. }) => (term, Vec::new()),
         _ => return,
     };
     let leaders = seen.leaders.entry(term).or_default();
