A whole list with an entry that can't be read still tells who is gone

Need: of the review, a list cut within an entry. roster.rs, hear: one such entry made the whole list a list of changes, so that whoever was gone by it stayed for good, as later changes do not name them again; their proxies went on sending there past the grace. Now the list is whole for all whom it names, also by an entry of which only the worker can be read, and what is known of that worker stays. Where not even the worker can be read it is a list of changes as before. The story of sockets.rs keeps its assertion; the text that it fails with said 'makes nobody gone', which holds of the workers with such entries alone.

--- a/crates/manager/src/listing.rs
+++ b/crates/manager/src/listing.rs
@@ -37,17 +37,33 @@
     started_at_ms: Option<f64>,
 }
 
+pub struct Entries {
+    /// Each with its address.
+    pub read: Vec<(Listed, Option<SocketAddr>)>,
+    /// Whom the entries that can't be read are about, as far as at least that can be.
+    pub unread: Vec<Option<String>>,
+}
+
+/// Of an entry that can't be read whole: whom it is about.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct About {
+    instance_id: String,
+}
+
 impl Listing {
-    /// The entries that can be read, each with its address, and whether these are all; the others are passed
-    /// over with a log line.
-    pub fn entries(&self, names: &mut Names) -> (Vec<(Listed, Option<SocketAddr>)>, bool) {
+    /// What can be read; the other entries are passed over with a log line.
+    pub fn entries(&self, names: &mut Names) -> Entries {
         let read: Vec<_> = self.instances.iter().map(|raw| entry(raw.get(), names)).collect();
         let odd: Vec<&String> = read.iter().filter_map(|entry| entry.as_ref().err()).collect();
         if let Some(last) = odd.last() {
             tracing::warn!("list {}: {} entries are passed over, the last: {last}", self.version, odd.len());
         }
-        let all = odd.is_empty();
-        (read.into_iter().flatten().collect(), all)
+        let unread = self.instances.iter().zip(&read).filter(|(_, entry)| entry.is_err());
+        let about =
+            |raw: &RawValue| serde_json::from_str(raw.get()).ok().map(|About { instance_id }| instance_id);
+        let unread = unread.map(|(raw, _)| about(raw)).collect();
+        Entries { read: read.into_iter().flatten().collect(), unread }
     }
 }
 
--- a/crates/manager/src/roster.rs
+++ b/crates/manager/src/roster.rs
@@ -7,7 +7,7 @@
 use juniperrail_interface::*;
 use juniperrail_start::Names;
 
-use crate::listing::Listing;
+use crate::listing::{Entries, Listing};
 
 #[derive(Default)]
 pub struct Roster {
@@ -21,9 +21,9 @@
 impl Roster {
     /// Takes over what discovery says; the decisions are to be told the event.
     pub fn hear(&mut self, listing: &Listing, kind: ListKind, names: &mut Names) -> Event {
-        let (entries, all) = listing.entries(names);
-        // Guards against an entry that can't be read: a whole list without it would tell that worker gone.
-        let kind = if all { kind } else { ListKind::Changes };
+        let Entries { read: entries, unread } = listing.entries(names);
+        // Guards against an entry of which not even the worker can be read: a whole list without it would tell that one gone.
+        let kind = if unread.iter().all(Option::is_some) { kind } else { ListKind::Changes };
         tracing::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
         self.version = listing.version;
         let mut workers = Vec::new();
@@ -39,6 +39,13 @@
             named.insert(name);
         }
         if kind != ListKind::Changes {
+            // Guards against an entry that can't be read: what is known of its worker stays, and the list is whole for all others.
+            for name in
+                unread.into_iter().flatten().filter(|name| !named.contains(name)).collect::<BTreeSet<_>>()
+            {
+                workers.extend(self.told(&name, names));
+                named.insert(name);
+            }
             self.composer.only(&|name| named.contains(name));
             // Who stands in no list of discovery's at all is not gone for that.
             self.number(names);
--- a/crates/manager/tests/crossings.rs
+++ b/crates/manager/tests/crossings.rs
@@ -439,3 +439,18 @@
     proxy.say("probe");
     proxy.line_with("alive");
 }
+
+#[test]
+fn a_whole_list_with_an_entry_that_cannot_be_read_still_tells_who_is_gone() {
+    let cluster = TestCluster::new(64);
+    let mut proxy = Answering::joined(cluster.manager, 1);
+    proxy.line_with("whole=1");
+    let (_, mut agent) = cluster.watch("200 OK");
+    let broken = r#"{"instanceId":"s-3","lifecycle":7}"#.to_string();
+    agent.chunk(&(list(42, true, &[entry("s-2", "ready"), broken]) + "\n"));
+    let told = proxy.line_with("out=s-1");
+    assert!(!told.contains("s-3"), "what is known of it stays: {told}");
+    // Later changes do not name who was gone before.
+    agent.chunk(&(list(43, false, &[entry("s-3", "draining")]) + "\n"));
+    proxy.line_with("out=s-3");
+}
--- a/crates/manager/tests/sockets.rs
+++ b/crates/manager/tests/sockets.rs
@@ -261,7 +261,7 @@
     let broken = r#"{"instanceId":"s-3"}"#.to_string();
     agent.chunk(&(list(44, true, &[entry("s-2", "draining"), broken]) + "\n"));
     let told = proxy.line_with("out=s-2");
-    assert!(!told.contains("s-3"), "a whole list that can't be read whole makes nobody gone: {told}");
+    assert!(!told.contains("s-3"), "nobody is gone whose entry can't be read: {told}");
     agent.chunk(&(list(45, true, &[entry("s-9", "ready")]) + "\n"));
     proxy.line_with("out=s-3");
 }
