Review case 2: after a restart, a worker the operator had drained is not readmitted

Proxies keep what they shut out across streams. A new manager sends `back` only for workers that it has itself seen leave the phase ready, or whose start is known. One that its predecessor shut out on the operator's word, listed as ready for long, stays shut out although every table has it.

Nothing is fixed.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,8 +2,10 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod case1;
+mod case2;
 mod common;
 mod fleet;
+mod proxies;
 
 use std::path::PathBuf;
 
@@ -18,6 +20,7 @@
     let case = case.clone();
     let run = move || match case.as_str() {
         "1" => case1::run(&folder, trouble),
+        "2" => case2::run(&folder, trouble),
         _ => 2,
     };
     std::process::exit(std::panic::catch_unwind(run).unwrap_or(2));
