Review case 3: one proxy whose stream keeps breaking delays drains for all proxies

Each joining of one proxy takes a message of its own, counted over its streams, so that twelve breaks of its stream keep an exclusion from every other proxy.

Nothing is fixed.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod common;
 mod fleet;
 mod proxies;
@@ -21,6 +22,7 @@
     let run = move || match case.as_str() {
         "1" => case1::run(&folder, trouble),
         "2" => case2::run(&folder, trouble),
+        "3" => case3::run(&folder, trouble),
         _ => 2,
     };
     std::process::exit(std::panic::catch_unwind(run).unwrap_or(2));
