Planner: a proxy is bound for each operation, not once as a whole

Cause: bind_proxy left out tables without a usable line and set one flag for the whole proxy; only proxies without the flag are bound. The planner alone shows it, without the order writer; the trace has the bind of the other table and no later one.

Change: the planner keeps the operations that a proxy is not bound for, and binds each as its table becomes usable. While one is missing, exclusions go to the proxy, also in the order writer: it may hold another manager's table for it. A proxy stays on a table of the whole fleet until its partition's table replaces it. A join ends what an earlier stream was bound to.

Why it works: nothing stands for "bound" any more but the absence of unbound operations, and each turn looks at what is missing.

--- a/crates/manager/src/order_writer.rs
+++ b/crates/manager/src/order_writer.rs
@@ -188,10 +188,12 @@
                     true => self.excluded.insert(*worker),
                     false => self.excluded.remove(worker),
                 };
-                // A proxy that this manager has not bound may hold another manager's tables, with any worker.
+                // Where this manager has not bound an operation of a proxy, the proxy may hold another manager's table
+                // for it, with any worker.
                 let has_line = |table: &TableId| self.has_line(*table, *worker);
-                let is_concerned =
-                    |proxy: &Proxy| proxy.bindings.is_empty() || proxy.bindings.values().any(has_line);
+                let is_concerned = |proxy: &Proxy| {
+                    proxy.bindings.len() < names.ops.count() || proxy.bindings.values().any(has_line)
+                };
                 for (id, _) in self.proxies.iter().filter(|(_, proxy)| is_concerned(proxy)) {
                     updates.entry(*id).or_default().exclusions.insert(*worker, *excluded);
                 }
--- a/crates/manager/src/order_writer/tests.rs
+++ b/crates/manager/src/order_writer/tests.rs
@@ -99,6 +99,21 @@
     assert_eq!(both, [(0, parts.to_string(), 2)]);
 }
 
+/// An operation that is not bound to a table may still have another manager's table, with any worker: an exclusion that
+/// was not sent to such a proxy never reached it.
+#[test]
+fn an_exclusion_goes_to_proxies_with_an_unbound_operation() {
+    let mut order_writer = order_writer(2);
+    write(&mut order_writer, &[line(TABLE, 0, 1.0), bind(TABLE, 1, 0), bind(TABLE, 0, 1)]);
+    assert_eq!(write(&mut order_writer, &[exclude(1, true)]), [(0, "push out=b\r\n".to_string(), 1)]);
+    write(&mut order_writer, &[line(TableId(1), 0, 1.0), bind(TableId(1), 2, 0)]);
+    assert_eq!(
+        write(&mut order_writer, &[exclude(2, true)]),
+        [],
+        "both proxies are bound for all operations"
+    );
+}
+
 #[test]
 fn a_full_table_comes_with_its_levels_and_the_lower_of_two_levels_applies() {
     let mut order_writer = order_writer(1);
@@ -190,26 +205,31 @@
     assert_eq!(write(&mut order_writer, &[line(TABLE, 2, 1.0)])[0].1, "push lines=c:1 back=c\r\n");
 }
 
-/// The planner's count of unacknowledged lines must never be below what was written to the channel; otherwise the
-/// planner would send more than the channel can take. Random histories of a small fleet, in which workers start, drain, leave and return,
-/// and proxies join with other managers' orders, disconnect and acknowledge late.
+const ANY_ZONE: Operation = Operation {
+    latency_objective: 500.0,
+    billed_value: 1.0,
+    zones: None,
+    machines: None,
+    own_zone_only: false,
+};
+
 #[test]
 fn the_planners_count_of_unacknowledged_lines_is_never_below_the_lines_written() {
+    check_counted_lines(&[ANY_ZONE, ANY_ZONE], 1);
+}
+
+/// Checks that the planner's count of unacknowledged lines is never below what was written to the channel; otherwise the
+/// planner would send more than the channel can take. Random histories of a small fleet, in which workers start, drain,
+/// leave and return, and proxies join with other managers' orders, disconnect and acknowledge late.
+fn check_counted_lines(operations: &[Operation], zone_count: u16) {
     use juniperrail::Planner;
     const HISTORIES: u64 = 60;
     const TURNS_PER_HISTORY: usize = 400;
     const PROXIES: u16 = 24;
     const WORKERS: usize = 70;
-    let op = Operation {
-        latency_objective: 500.0,
-        billed_value: 1.0,
-        zones: None,
-        machines: None,
-        own_zone_only: false,
-    };
     let settings = Settings {
-        operations: vec![op.clone(), op],
-        zones: vec![ZoneId(0)],
+        operations: operations.to_vec(),
+        zones: (0..zone_count).map(ZoneId).collect(),
         channel_rate: 600.0,
         max_pending_lines: 1200.0,
         message_overhead: 4.0,
@@ -236,7 +256,8 @@
         let (mut mark, mut joined) = (0_u64, BTreeSet::new());
         let mut listed: Vec<WorkerEntry> = Vec::new();
         let entry = |id: u32, phase, started_at| {
-            let (zone, machine, cell) = (ZoneId(0), MachineId(0), CellId(0));
+            let zone = ZoneId((id % u32::from(zone_count)) as u16);
+            let (machine, cell) = (MachineId(0), CellId(0));
             WorkerEntry { worker: WorkerId(id), phase, started_at, zone, machine, cell, weight: 1.0 }
         };
         let mut events = Vec::new();
@@ -252,7 +273,8 @@
             match rng.u32(0..12) {
                 // A proxy joins; if it has a stream already, the new one replaces that.
                 0..4 => {
-                    let (fresh, zone, inv_per_second) = (rng.u32(0..3) == 0, ZoneId(0), rng.f64() * 3.0);
+                    let (fresh, inv_per_second) = (rng.u32(0..3) == 0, rng.f64() * 3.0);
+                    let zone = ZoneId(proxy.0 % zone_count);
                     order_writer.remove_proxy(proxy);
                     if !joined.insert(proxy) {
                         events.push(Event::Left { proxy });
--- a/crates/manager/tests/races.rs
+++ b/crates/manager/tests/races.rs
@@ -434,6 +434,48 @@
     drop((earlier_connections, later_connections));
 }
 
+/// A configuration with an operation that stays within the proxy's zone, `order`. Of the workers that the manager
+/// remembers, those of zone a, the proxies' zone, drain.
+fn draining_zone_config(discovery: SocketAddr) -> String {
+    let settings = SETTINGS.replace("\"domain\":{", "\"domain\":{\"class-own-zone\":[false,true],");
+    let entries = [entry("s-1", "draining"), entry_at("t-1", "b", "127.0.0.1:9", "ready")];
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1f","limits":{{"sockets":64}},
+        "known":{},"settings":{settings}}}"#,
+        list_json(41, true, &entries)
+    )
+}
+
+/// The next orders for the operation `order` that contain `part`.
+fn next_orders_containing(proxy: &mut AnsweringProxy, part: &str) -> String {
+    loop {
+        let orders = proxy.next_line_containing("classes=order");
+        if orders.contains(part) {
+            return orders;
+        }
+    }
+}
+
+/// A restarted manager binds a proxy while the workers of its zone are being replaced, so that one table has no usable
+/// line. The proxy counted as bound, and the successors never reached it.
+#[test]
+fn proxy_that_joins_between_its_zones_drain_and_the_successors_gets_them_for_every_operation() {
+    let manager = InProcessManager::with_config(draining_zone_config);
+    let mut proxy = AnsweringProxy::connect(manager.address, 1);
+    let bound = proxy.next_line_containing("whole=1");
+    assert!(bound.contains("classes=lookup") && bound.contains("t-1:"), "{bound}");
+    let (_, mut watch) = manager.accept_watch("200 OK");
+    let changes = [entry("s-1", "gone"), entry("s-2", "ready")];
+    watch.send_chunk(&(list_json(42, false, &changes) + "\n"));
+    next_orders_containing(&mut proxy, "s-2:");
+    watch.send_chunk(&(list_json(43, false, &[entry("s-3", "ready"), entry("s-2", "draining")]) + "\n"));
+    let orders = next_orders_containing(&mut proxy, "s-3:");
+    // An exclusion that is overdue by then is in the same message as its replacement.
+    if !orders.contains("out=s-2") {
+        proxy.next_line_containing("out=s-2");
+    }
+}
+
 #[test]
 fn drain_reaches_proxies_while_collectors_flood() {
     let manager = InProcessManager::new(64);
--- a/src/events.rs
+++ b/src/events.rs
@@ -49,14 +49,18 @@
                     let partitions: Vec<Option<usize>> = self.partition_tables.keys().copied().collect();
                     partitions.into_iter().for_each(|partition| self.build_tables(partition, Some(zone)));
                 }
-                let joined = Proxy { zone, inv_per_second, acknowledged_mark, ..Proxy::default() };
+                // The end of an earlier stream may not have been reported.
+                self.end_bindings(*proxy);
+                let unbound_ops = self.all_operations();
+                let joined =
+                    Proxy { zone, inv_per_second, unbound_ops, acknowledged_mark, ..Proxy::default() };
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => {
                 // The proxy's bindings end, and its acknowledgements are no longer awaited. An update that no proxy is
                 // left to acknowledge becomes idle and is sent again. The proxy's next bind carries all values.
                 self.proxies.remove(proxy);
-                self.tables.iter_mut().for_each(|table| _ = table.bound_proxies.remove(proxy));
+                self.end_bindings(*proxy);
             }
             Event::MarkAcknowledged { mark, proxy, .. } => {
                 // The newest mark sent with these low 16 bits: the numbers of marks on the channel wrap around.
@@ -92,6 +96,13 @@
         }
     }
 
+    /// Ends the bindings of a proxy to all tables.
+    fn end_bindings(&mut self, proxy: ProxyId) {
+        for table in &mut self.tables {
+            table.bound_proxies.remove(&proxy);
+        }
+    }
+
     /// Applies one entry of the worker list. `is_change`: the entry is from a change of the list, not from a full list.
     fn apply_listed(&mut self, mut listed: WorkerEntry, is_change: bool) {
         // A worker listed without a positive weight gets the mean weight of the known workers, or 1 if there are none.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,12 +80,21 @@
     inv_per_second: f64,
     /// The partition whose tables it gets; `None` means those of the whole fleet.
     partition: Option<usize>,
-    bound: bool,
+    /// Indices in `Settings::operations` of the operations that it is not bound to a table for. For these it may have
+    /// another manager's table, with any worker.
+    unbound_ops: BTreeSet<usize>,
     acknowledged_mark: u64,
     /// By operation: the last reported rates in invocations a second, the newest first.
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
 
+impl Proxy {
+    /// Whether it is bound to a table for each operation.
+    fn is_bound(&self) -> bool {
+        self.unbound_ops.is_empty()
+    }
+}
+
 /// A table that proxies are bound to: the workers of some operations, for proxies of one zone or of all.
 struct Table {
     id: TableId,
@@ -230,7 +239,7 @@
         let is_synced = |(id, proxy): &(&ProxyId, &Proxy)| {
             let is_applied =
                 |update: &UpdateState| update.desired == update.sent && has_acknowledged(proxy, update);
-            proxy.bound
+            proxy.is_bound()
                 && concerned_updates
                     .iter()
                     .all(|(update, receivers)| !receivers.contains(id) || is_applied(update))
--- a/src/partitions.rs
+++ b/src/partitions.rs
@@ -39,7 +39,10 @@
         if self.partition_count == 0 && proxy_lines > max_lines && partition_count > 1 {
             self.partition_count = partition_count;
             (0..partition_count).for_each(|partition| self.build_tables(Some(partition), None));
-            self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
+            let all_operations = self.all_operations();
+            for proxy in self.proxies.values_mut() {
+                proxy.unbound_ops.clone_from(&all_operations);
+            }
         }
         // A new worker joins the partition with the least effective weight, so that no partition has too few workers
         // or mostly cold ones.
@@ -78,7 +81,12 @@
         share.max(self.proxies.len() as f64).max(1.0)
     }
 
-    /// Assigns each unbound proxy, given as its rate (invocations a second) and id, to the partition with the least
+    /// The indices of all operations.
+    pub(crate) fn all_operations(&self) -> BTreeSet<usize> {
+        (0..self.settings.operations.len()).collect()
+    }
+
+    /// Assigns each proxy that is bound to none of its tables, given as its rate (invocations a second) and id, to the partition with the least
     /// load. A proxy that would be over half of a partition's mean load gets the tables of the whole fleet, unless the
     /// fleet is too large for one table.
     pub(crate) fn assign_partitions(&mut self, unbound: &[(f64, ProxyId)]) {
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -105,20 +105,7 @@
         }
         // Lines that binds and ordinary updates may add in this turn.
         let line_limit = backlog * SEND_BACKLOG_RATIO - exclusion_reserve - waiting_lines;
-        // Proxies with the highest rate of invocations are bound first.
-        let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.bound);
-        let mut unbound: Vec<(f64, ProxyId)> =
-            unbound.map(|(id, proxy)| (proxy.inv_per_second, *id)).collect();
-        unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
-        self.assign_partitions(&unbound);
-        for (_, id) in unbound {
-            // A bind that would not fit within the limit even in an empty channel may use more of the backlog there.
-            let channel_is_empty = waiting_lines == 0.0 && self.message_lines.is_empty();
-            let bind_limit = if channel_is_empty { backlog * OVERDUE_BACKLOG_RATIO } else { line_limit };
-            if !self.bind_proxy(id, bind_limit) {
-                break;
-            }
-        }
+        self.bind_proxies(line_limit, waiting_lines);
         ordinary_updates.sort_by(|a, b| b.is_level.cmp(&a.is_level).then(b.change.total_cmp(&a.change)));
         for OrdinaryUpdate { key, .. } in ordinary_updates {
             if self.turn_lines < line_limit && self.send_update(key, line_limit, ORDINARY_MESSAGE_RATIO) {
@@ -207,44 +194,90 @@
         1.0 + f64::from(u8::from(enters && self.workers[&id].possibly_excluded))
     }
 
-    /// Binds a joined proxy to its tables if their lines fit within `line_limit`; a table without usable lines is left
-    /// for a later bind. Returns false where the lines do not fit.
-    fn bind_proxy(&mut self, id: ProxyId, line_limit: f64) -> bool {
-        let mut cost = 0.0;
-        let mut binds = Vec::new();
-        for table in self.tables_for(&self.proxies[&id]) {
-            let lines = self.lines(table.id).filter(|(_, line)| line.sent > 0.0);
-            let (excluded, usable): (Vec<_>, Vec<_>) =
-                lines.partition(|(worker, _)| self.is_excluded(*worker));
-            if !usable.is_empty() {
-                let readmitted =
-                    usable.iter().filter(|(worker, _)| self.workers[worker].possibly_excluded).count();
-                // The bind itself, the line and the exclusion of each excluded worker, the line of each usable worker,
-                // the readmissions, and the level of each operation.
-                cost += (1 + 2 * excluded.len() + usable.len() + readmitted + table.ops.len()) as f64;
-                binds.push((table.id, table.ops.iter().map(|op| 1 << op).sum()));
+    /// Binds proxies to the tables that they lack, those with the highest rate of invocations first, while their lines
+    /// fit within `line_limit`.
+    fn bind_proxies(&mut self, line_limit: f64, waiting_lines: f64) {
+        let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.is_bound());
+        let mut unbound: Vec<(f64, ProxyId)> =
+            unbound.map(|(id, proxy)| (proxy.inv_per_second, *id)).collect();
+        unbound.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let operation_count = self.settings.operations.len();
+        let has_no_table = |id: &ProxyId| self.proxies[id].unbound_ops.len() == operation_count;
+        let without_tables: Vec<_> = unbound.iter().filter(|(_, id)| has_no_table(id)).copied().collect();
+        self.assign_partitions(&without_tables);
+        for (_, id) in unbound {
+            // A bind that would not fit within the limit even in an empty channel may use more of the backlog there.
+            let channel_is_empty = waiting_lines == 0.0 && self.message_lines.is_empty();
+            let backlog = self.settings.max_pending_lines;
+            let bind_limit = if channel_is_empty { backlog * OVERDUE_BACKLOG_RATIO } else { line_limit };
+            if !self.bind_proxy(id, bind_limit) {
+                break;
             }
         }
-        if binds.is_empty() || !self.reserve_lines(&BTreeSet::from([id]), cost, line_limit, 1.0) {
-            return binds.is_empty() || self.turn_lines + cost <= line_limit;
+    }
+
+    /// Binds a joined proxy to the tables that it lacks, if their lines fit within `line_limit`; a table without usable
+    /// lines is left for a later bind. Returns false where the lines do not fit.
+    fn bind_proxy(&mut self, id: ProxyId, line_limit: f64) -> bool {
+        let proxy = &self.proxies[&id];
+        let lacks = |table: &&Table| table.ops.iter().any(|op| proxy.unbound_ops.contains(op));
+        let bindable = self.tables_for(proxy).filter(lacks).filter(|table| self.has_usable_line(table.id));
+        let tables: Vec<TableId> = bindable.map(|table| table.id).collect();
+        // A proxy of a fleet that has just been partitioned may already be bound to its table.
+        let is_new = |table: &&TableId| !self.tables[usize::from(table.0)].bound_proxies.contains(&id);
+        let cost: f64 = tables.iter().filter(is_new).map(|table| self.bind_cost(*table)).sum();
+        if cost > 0.0 && !self.reserve_lines(&BTreeSet::from([id]), cost, line_limit, 1.0) {
+            return self.turn_lines + cost <= line_limit;
+        }
+        for table in tables {
+            self.bind_to_table(id, usize::from(table.0));
+        }
+        true
+    }
+
+    /// Whether proxies that are bound to a table have a worker to pick.
+    fn has_usable_line(&self, table: TableId) -> bool {
+        self.lines(table).any(|(worker, line)| line.sent > 0.0 && !self.is_excluded(worker))
+    }
+
+    /// The number of message lines that a bind to a table costs.
+    fn bind_cost(&self, table: TableId) -> f64 {
+        let line_cost = |(worker, _): (WorkerId, &UpdateState)| {
+            // The exclusion of an excluded worker, or the readmission of one that another manager may have excluded.
+            let sends_exclusion = self.is_excluded(worker) || self.workers[&worker].possibly_excluded;
+            1 + usize::from(sends_exclusion)
+        };
+        let lines: usize = self.lines(table).filter(|(_, line)| line.sent > 0.0).map(line_cost).sum();
+        // The bind itself, the lines, and the level of each operation.
+        (1 + lines + self.tables[usize::from(table.0)].ops.len()) as f64
+    }
+
+    /// Binds a proxy to a table, in place of the one that it is bound to for the same operations.
+    fn bind_to_table(&mut self, id: ProxyId, index: usize) {
+        let table = &self.tables[index];
+        let (table_id, ops) = (table.id, table.ops.clone());
+        let is_bound = table.bound_proxies.contains(&id);
+        let proxy = self.proxies.get_mut(&id).expect("a joined proxy");
+        proxy.unbound_ops.retain(|op| !ops.contains(op));
+        if is_bound {
+            return;
         }
-        // The proxy may have been bound to the tables of the whole fleet or to those of its partition.
-        let former_partitions = [None, self.proxies[&id].partition];
+        // The proxy may have been bound to the table of the whole fleet.
+        let former_partitions = [None, proxy.partition];
         let former_tables =
             former_partitions.iter().filter_map(|partition| self.partition_tables.get(partition)).flatten();
-        for index in former_tables {
-            self.tables[*index].bound_proxies.remove(&id);
-        }
-        for (table, ops) in binds {
-            self.tables[usize::from(table.0)].bound_proxies.insert(id);
-            self.orders.push(Order::Bind { table, ops, proxy: id });
+        for former in former_tables {
+            if self.tables[*former].ops == ops {
+                self.tables[*former].bound_proxies.remove(&id);
+            }
         }
-        self.proxies.get_mut(&id).expect("a joined proxy").bound = true;
-        true
+        self.tables[index].bound_proxies.insert(id);
+        let mask = ops.iter().map(|op| 1 << op).sum();
+        self.orders.push(Order::Bind { table: table_id, ops: mask, proxy: id });
     }
 
-    /// The proxies that an update is sent to. An exclusion also goes to unbound proxies, which may still have
-    /// another manager's tables.
+    /// The proxies that an update is sent to. An exclusion also goes to proxies that lack a table, as they may still
+    /// have another manager's.
     pub(crate) fn receivers(&self, key: UpdateKey) -> BTreeSet<ProxyId> {
         let id = match key {
             UpdateKey::Line(table, _) | UpdateKey::Level(table, _) => {
@@ -257,6 +290,7 @@
         };
         let tables = self.tables.iter().filter(has_line);
         let bound = tables.flat_map(|table| table.bound_proxies.iter().copied());
-        bound.chain(self.proxies.iter().filter(|(_, proxy)| !proxy.bound).map(|(id, _)| *id)).collect()
+        let unbound = self.proxies.iter().filter(|(_, proxy)| !proxy.is_bound());
+        bound.chain(unbound.map(|(id, _)| *id)).collect()
     }
 }
--- a/src/updates.rs
+++ b/src/updates.rs
@@ -128,7 +128,7 @@
         let acknowledged_mark = |id: &ProxyId| self.proxies[id].acknowledged_mark;
         let lowest_by_table: Vec<_> =
             self.tables.iter().map(|table| table.bound_proxies.iter().map(acknowledged_mark).min()).collect();
-        let unbound = self.proxies.values().filter(|proxy| !proxy.bound);
+        let unbound = self.proxies.values().filter(|proxy| !proxy.is_bound());
         let lowest_of_unbound = unbound.map(|proxy| proxy.acknowledged_mark).min();
         self.pending.retain(|key| {
             let lowest_acknowledged = match *key {
--- /dev/null
+++ b/tests/binding.rs
@@ -0,0 +1,79 @@
+//! Tests of binding proxies to their tables where some table has no usable line as a proxy joins. The name of each test
+//! states the behaviour that it guards.
+
+#[allow(dead_code)] // These tests use only some of the helpers.
+mod host;
+
+use host::*;
+use juniperrail_interface::*;
+
+/// The operation that any worker may execute.
+const ANY_ZONE: u8 = 0;
+/// The operation that stays within the proxy's zone.
+const OWN_ZONE: u8 = 1;
+/// A proxy of zone 0, in which the even workers are.
+const PROXY: u16 = 0;
+
+fn settings_with_own_zone_operation() -> Settings {
+    let own_zone = Operation { own_zone_only: true, ..operation() };
+    Settings { operations: vec![operation(), own_zone], ..settings() }
+}
+
+/// A manager that has just started: of the workers that it remembers, those of zone 0 drain.
+fn restarted_while_zone_drains() -> Host {
+    let mut host = Host::new(settings_with_own_zone_operation());
+    let phase = |worker: u32| if worker.is_multiple_of(2) { Phase::Draining } else { Phase::Ready };
+    host.turn(&[list(ListKind::Remembered, (0..8).map(|worker| entry(worker, phase(worker))).collect())]);
+    host
+}
+
+/// The workers that a proxy may pick for an operation; `None` while it is not bound to a table for it and has what it came
+/// with.
+fn usable_workers(host: &Host, proxy: u16, op: u8) -> Option<Vec<u32>> {
+    let table = host.bound_tables.get(&(ProxyId(proxy), OpId(op)))?;
+    let lines = host.weights.keys().filter(|(line_table, _)| line_table == table);
+    let usable = lines.map(|(_, worker)| worker.0).filter(|worker| !host.is_excluded(*worker));
+    Some(usable.collect())
+}
+
+/// A proxy that joined while the table of one operation had no usable line counted as bound, and was never sent that
+/// table: it had no worker to pick for the operation for as long as its stream lasted.
+#[test]
+fn proxy_that_joined_while_its_zone_drained_gets_the_successors_for_every_operation() {
+    let mut host = restarted_while_zone_drains();
+    host.advance(100.0, &[joined(PROXY), joined(1)]);
+    assert_eq!(usable_workers(&host, PROXY, ANY_ZONE), Some(vec![1, 3, 5, 7]));
+    host.run_seconds(4, 2, &[]);
+    let successors = vec![entry(8, Phase::Ready), entry(10, Phase::Ready)];
+    host.advance(600.0, &[list_change(successors)]);
+    host.run_seconds(3, 2, &[]);
+    assert_eq!(usable_workers(&host, PROXY, OWN_ZONE), Some(vec![8, 10]));
+    // From now on it gets the changes of that table.
+    host.advance(600.0, &[list_change(vec![entry(12, Phase::Ready), entry(8, Phase::Draining)])]);
+    host.run_seconds(3, 2, &[]);
+    assert_eq!(usable_workers(&host, PROXY, OWN_ZONE), Some(vec![10, 12]));
+}
+
+/// A proxy that is not yet bound for an operation may have any worker in its old table for it, so that exclusions are
+/// also sent to it, and their lines are counted.
+#[test]
+fn exclusion_is_sent_to_a_proxy_that_lacks_one_table() {
+    let mut host = restarted_while_zone_drains();
+    host.advance(100.0, &[joined(PROXY)]);
+    host.acknowledge(1);
+    assert_eq!(host.planner.unacknowledged_lines(), 0.0);
+    assert_eq!(usable_workers(&host, PROXY, OWN_ZONE), None);
+    // No table of the proxy has a line of this worker.
+    host.advance(10.0, &[list_change(vec![entry(10, Phase::Draining)])]);
+    assert!(host.is_excluded(10));
+    assert!(host.planner.unacknowledged_lines() > 0.0);
+}
+
+/// A new stream may be reported before the end of the old one: what the old stream was bound to does not count.
+#[test]
+fn proxy_that_joins_again_without_having_left_is_bound_again() {
+    let mut host = Host::running(settings_with_own_zone_operation(), 8, 2);
+    let first_bindings = host.bindings[&ProxyId(PROXY)].clone();
+    host.advance(600.0, &[joined(PROXY)]);
+    assert_eq!(host.bindings[&ProxyId(PROXY)].len(), 2 * first_bindings.len());
+}
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -15,6 +15,8 @@
     pub excluded: BTreeSet<WorkerId>,
     /// All tables that a proxy was ever bound to, in order.
     pub bindings: BTreeMap<ProxyId, Vec<TableId>>,
+    /// The table that a proxy was last bound to for an operation.
+    pub bound_tables: BTreeMap<(ProxyId, OpId), TableId>,
     /// All admission levels sent, in order.
     pub admissions: Vec<(f64, Retry)>,
     /// The last admission level of each table and operation.
@@ -113,6 +115,7 @@
             weights: BTreeMap::new(),
             excluded: BTreeSet::new(),
             bindings: BTreeMap::new(),
+            bound_tables: BTreeMap::new(),
             admissions: Vec::new(),
             levels: BTreeMap::new(),
             marks: Vec::new(),
@@ -149,7 +152,11 @@
                 Order::ExcludeWorker { worker, excluded: false } => {
                     self.excluded.remove(worker);
                 }
-                Order::Bind { table, proxy, .. } => self.bindings.entry(*proxy).or_default().push(*table),
+                Order::Bind { table, ops, proxy } => {
+                    self.bindings.entry(*proxy).or_default().push(*table);
+                    let bound_ops = (0..32).filter(|op| ops >> op & 1 == 1).map(OpId);
+                    self.bound_tables.extend(bound_ops.map(|op| ((*proxy, op), *table)));
+                }
                 Order::SetAdmission { scope, ops, level, retry } => {
                     self.admissions.push((*level, *retry));
                     if let AdmissionScope::Table(table) = scope {
