Planner: lines of unknown state count among those that a table may have

Cause: a line that no proxy is left to acknowledge has sent = NaN. Its removal may wait for the exclusion of its worker, and a proxy may be bound to the table meanwhile. The order writer's table has the line; receivers and the cost of a bind asked for sent > 0.

Change: both ask UpdateState::may_be_in_table, which is true of unknown lines.

Why it works: what is counted is then never less than what the order writer's tables hold.

The planner's tests pass as before.

--- a/crates/manager/src/order_writer/tests.rs
+++ b/crates/manager/src/order_writer/tests.rs
@@ -218,6 +218,13 @@
     check_counted_lines(&[ANY_ZONE, ANY_ZONE], 1);
 }
 
+/// As above, where an operation has a table for each zone of proxies and some zones at times have no worker, so that
+/// proxies lack one of their tables.
+#[test]
+fn lines_to_proxies_that_lack_a_table_are_counted() {
+    check_counted_lines(&[ANY_ZONE, Operation { own_zone_only: true, ..ANY_ZONE }], 12);
+}
+
 /// Checks that the planner's count of unacknowledged lines is never below what was written to the channel; otherwise the
 /// planner would send more than the channel can take. Random histories of a small fleet, in which workers start, drain,
 /// leave and return, and proxies join with other managers' orders, disconnect and acknowledge late.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,13 @@
     readmission_uncertain: bool,
 }
 
+impl UpdateState {
+    /// Whether a table may have this line: it was sent with a weight, or its state is unknown.
+    fn may_be_in_table(&self) -> bool {
+        self.sent != 0.0
+    }
+}
+
 /// What one report, or the sum of several, says about a worker.
 struct Sample {
     received_at: Ms,
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -247,7 +247,7 @@
             let sends_exclusion = self.is_excluded(worker) || self.workers[&worker].possibly_excluded;
             1 + usize::from(sends_exclusion)
         };
-        let lines: usize = self.lines(table).filter(|(_, line)| line.sent > 0.0).map(line_cost).sum();
+        let lines: usize = self.lines(table).filter(|(_, line)| line.may_be_in_table()).map(line_cost).sum();
         // The bind itself, the lines, and the level of each operation.
         (1 + lines + self.tables[usize::from(table.0)].ops.len()) as f64
     }
@@ -286,7 +286,7 @@
             UpdateKey::Exclusion(id) => id,
         };
         let has_line = |table: &&Table| {
-            self.updates.get(&UpdateKey::Line(table.id, id)).is_some_and(|line| line.sent > 0.0)
+            self.updates.get(&UpdateKey::Line(table.id, id)).is_some_and(UpdateState::may_be_in_table)
         };
         let tables = self.tables.iter().filter(has_line);
         let bound = tables.flat_map(|table| table.bound_proxies.iter().copied());
