Planner: a partition without workers for a table takes those of the others

Cause: workers and proxies join partitions whatever their zone, so that a partition may have no worker of a zone from the start, or lose its last one. Its table for that zone has no line then, and nothing else gives its proxies one.

Change: widen_tables, each planning turn: a table whose partition has no ready worker for it, or only cold ones, while another partition has a better one, includes the workers of all partitions from then on.

Measured: proxy_of_a_partition_without_workers_of_its_zone_gets_those_of_other_partitions and ..._gets_a_cold_one_of_another_partition (tests/binding.rs) fail without the change and pass with it; the second also fails without the clause on ready workers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -111,14 +111,17 @@
     operation: Operation,
     /// The zone of its proxies; `None` means all zones.
     proxy_zone: Option<ZoneId>,
-    /// The partition whose workers it has; `None` means the whole fleet.
+    /// The partition whose workers and proxies it has; `None` means the whole fleet.
     partition: Option<usize>,
+    /// Whether it has the workers of all partitions, although its proxies are those of one; see
+    /// [`Planner::widen_tables`].
+    spans_partitions: bool,
     bound_proxies: BTreeSet<ProxyId>,
 }
 
 impl Table {
-    /// Whether a worker may have a line in this table.
-    fn includes(&self, worker: &Worker) -> bool {
+    /// Whether its operations may go to a worker from the proxies that it is for.
+    fn is_open_to(&self, worker: &Worker) -> bool {
         self.operation.zones.as_ref().is_none_or(|zones| zones.contains(&worker.listed.zone))
             && self
                 .operation
@@ -126,7 +129,12 @@
                 .as_ref()
                 .is_none_or(|machines| machines.contains(&worker.listed.machine))
             && (!self.operation.own_zone_only || self.proxy_zone == Some(worker.listed.zone))
-            && (self.partition.is_none() || self.partition == worker.partition)
+    }
+
+    /// Whether a worker may have a line in this table.
+    fn includes(&self, worker: &Worker) -> bool {
+        self.is_open_to(worker)
+            && (self.partition.is_none() || self.spans_partitions || self.partition == worker.partition)
     }
 }
 
@@ -214,6 +222,7 @@
             self.adjust_weights();
             self.adjust_admission();
             self.partition_fleet();
+            self.widen_tables();
             self.plan_updates();
         }
         self.complete_updates();
--- a/src/partitions.rs
+++ b/src/partitions.rs
@@ -2,7 +2,7 @@
 
 use crate::numbers::mean;
 use crate::sending::SEND_BACKLOG_RATIO;
-use crate::{Planner, Proxy, Table};
+use crate::{Planner, Proxy, Table, Worker};
 use juniperrail_interface::*;
 use std::collections::BTreeSet;
 
@@ -61,6 +61,28 @@
         }
     }
 
+    /// Adds the workers of all partitions to each table whose partition has no worker for it, while another has one: no
+    /// ready worker, or only cold ones while another has a warm one. They stay: without them, the first worker that returns
+    /// to the partition would get all of the table's demand while it is cold.
+    pub(crate) fn widen_tables(&mut self) {
+        let is_ready = |worker: &&Worker| worker.listed.phase == Phase::Ready;
+        let is_warm = |worker: &&Worker| self.warm_up_ratio(&worker.listed) >= 1.0;
+        let ready: Vec<&Worker> = self.workers.values().filter(is_ready).collect();
+        let warm: Vec<&Worker> = ready.iter().copied().filter(is_warm).collect();
+        let has_only_elsewhere = |table: &Table, workers: &[&Worker]| {
+            !workers.iter().any(|worker| table.includes(worker))
+                && workers.iter().any(|worker| table.is_open_to(worker))
+        };
+        let widened: Vec<bool> = self
+            .tables
+            .iter()
+            .map(|table| has_only_elsewhere(table, &ready) || has_only_elsewhere(table, &warm))
+            .collect();
+        for (table, is_widened) in self.tables.iter_mut().zip(widened) {
+            table.spans_partitions |= is_widened;
+        }
+    }
+
     /// Builds the tables of a partition or (`None`) of the whole fleet. Given a new zone, builds only the tables that
     /// are for proxies of that zone alone.
     pub(crate) fn build_tables(&mut self, partition: Option<usize>, new_zone: Option<ZoneId>) {
@@ -139,6 +161,7 @@
                     operation: op.clone(),
                     proxy_zone,
                     partition: None,
+                    spans_partitions: false,
                     bound_proxies: BTreeSet::new(),
                 }),
             }
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -6,6 +6,7 @@
 
 use host::*;
 use juniperrail_interface::*;
+use std::collections::BTreeSet;
 
 /// The operation that any worker may execute.
 const ANY_ZONE: u8 = 0;
@@ -77,3 +78,72 @@
     host.advance(600.0, &[joined(PROXY)]);
     assert_eq!(host.bindings[&ProxyId(PROXY)].len(), 2 * first_bindings.len());
 }
+
+/// The number of workers and of proxies with which a fleet is partitioned.
+const PARTITIONED_WORKERS: u32 = 120;
+const PARTITIONED_PROXIES: u16 = 60;
+/// A zone with fewer workers than the fleet has partitions.
+const SMALL_ZONE: ZoneId = ZoneId(2);
+const SMALL_ZONE_WORKERS: [u32; 2] = [30, 90];
+
+/// An entry of the worker list of a fleet that is partitioned.
+fn partitioned_entry(worker: u32, phase: Phase) -> WorkerEntry {
+    let listed = entry(worker, phase);
+    let zone = if SMALL_ZONE_WORKERS.contains(&worker) { SMALL_ZONE } else { listed.zone };
+    WorkerEntry { zone, ..listed }
+}
+
+/// Every third proxy is in the small zone.
+fn partitioned_proxy(proxy: u16) -> Event {
+    let zone = if proxy.is_multiple_of(3) { SMALL_ZONE } else { ZoneId(proxy % 2) };
+    Event::Joined { proxy: ProxyId(proxy), fresh: true, inv_per_second: 10.0, zone }
+}
+
+/// A partitioned fleet. The small zone has these workers.
+fn partitioned_fleet(small_zone_workers: &[u32]) -> Host {
+    let zones = vec![ZoneId(0), ZoneId(1), SMALL_ZONE];
+    let mut host = Host::new(Settings { zones, ..settings_with_own_zone_operation() });
+    let is_listed =
+        |worker: &u32| !SMALL_ZONE_WORKERS.contains(worker) || small_zone_workers.contains(worker);
+    let listed = (0..PARTITIONED_WORKERS).filter(is_listed);
+    let ready = listed.map(|worker| partitioned_entry(worker, Phase::Ready)).collect();
+    host.turn(&[list(ListKind::Remembered, ready)]);
+    host.advance(10.0, &(0..PARTITIONED_PROXIES).map(partitioned_proxy).collect::<Vec<_>>());
+    host.run_seconds(10, PARTITIONED_PROXIES, &[]);
+    let is_any_zone = |((_, op), table): (&(ProxyId, OpId), &TableId)| (op.0 == ANY_ZONE).then_some(*table);
+    let tables: BTreeSet<TableId> = host.bound_tables.iter().filter_map(is_any_zone).collect();
+    assert!(tables.len() > SMALL_ZONE_WORKERS.len(), "the fleet has a table for each partition: {tables:?}");
+    host
+}
+
+/// A partition need not have a worker of each zone: its proxies of such a zone were bound to no table for an operation that
+/// stays within the zone, or to one without lines, while the zone had workers in other partitions.
+#[test]
+fn proxy_of_a_partition_without_workers_of_its_zone_gets_those_of_other_partitions() {
+    let mut host = partitioned_fleet(&SMALL_ZONE_WORKERS);
+    for proxy in (0..PARTITIONED_PROXIES).step_by(3) {
+        let usable = usable_workers(&host, proxy, OWN_ZONE).unwrap_or_default();
+        assert!(!usable.is_empty(), "proxy {proxy} has no worker to pick");
+        assert!(usable.iter().all(|worker| SMALL_ZONE_WORKERS.contains(worker)));
+    }
+    // A partition may also lose the last worker that it has of a zone.
+    let [drained, remaining] = SMALL_ZONE_WORKERS;
+    host.advance(600.0, &[list_change(vec![partitioned_entry(drained, Phase::Draining)])]);
+    host.run_seconds(4, PARTITIONED_PROXIES, &[]);
+    for proxy in (0..PARTITIONED_PROXIES).step_by(3) {
+        assert_eq!(usable_workers(&host, proxy, OWN_ZONE), Some(vec![remaining]), "proxy {proxy}");
+    }
+}
+
+/// As above, where the only worker of the zone has just started.
+#[test]
+fn proxy_of_a_partition_without_workers_of_its_zone_gets_a_cold_one_of_another_partition() {
+    let mut host = partitioned_fleet(&[]);
+    let started = PARTITIONED_WORKERS;
+    let cold = WorkerEntry { zone: SMALL_ZONE, started_at: Some(host.now), ..entry(started, Phase::Ready) };
+    host.advance(600.0, &[list_change(vec![cold])]);
+    host.run_seconds(4, PARTITIONED_PROXIES, &[]);
+    for proxy in (0..PARTITIONED_PROXIES).step_by(3) {
+        assert_eq!(usable_workers(&host, proxy, OWN_ZONE), Some(vec![started]), "proxy {proxy}");
+    }
+}
