Tests: random histories of proxies that lack tables, checked at each proxy

Change: tests/binding_histories.rs: 300 seeded histories of a minute, with zones that drain, workers that start, proxies that return with old tables and managers that restart.

--- /dev/null
+++ b/tests/binding_histories.rs
@@ -0,0 +1,233 @@
+//! Random histories of a small fleet with an operation that stays within the proxy's zone: zones drain, workers start,
+//! proxies lose their streams and return with old tables, and the manager restarts. After each step two rules are checked
+//! at every proxy: it has a worker to pick, and it picks none that drains or is gone. Orders take effect at once.
+
+#[allow(dead_code)] // This test uses only some of the helpers.
+mod host;
+
+use host::*;
+use juniperrail_interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const HISTORIES: u64 = 300;
+const STEPS: u32 = 240;
+const STEP: Ms = 250.0;
+const ZONES: u32 = 3;
+const WORKERS: u32 = 12;
+const PROXIES: u16 = 6;
+const OPERATIONS: u8 = 2;
+/// The operation that stays within the proxy's zone; the other may go to any worker.
+const OWN_ZONE: u8 = 1;
+/// How long a proxy may have no worker to pick, although a warm one is listed as ready: `domain.bare-ms`.
+const MAX_BARE: Ms = 7300.0;
+
+/// What a proxy has, as the protocol describes it.
+#[derive(Default)]
+struct Proxy {
+    joined_at: Option<Ms>,
+    /// By operation: the workers of the table that it came with.
+    old_tables: BTreeMap<u8, BTreeSet<u32>>,
+    /// By operation: the manager's table that it is bound to.
+    bound_tables: BTreeMap<u8, TableId>,
+    excluded: BTreeSet<u32>,
+    /// By operation: since when it has had none to pick, although a warm worker is listed as ready.
+    bare_since: BTreeMap<u8, Ms>,
+}
+
+struct Fleet {
+    rng: fastrand::Rng,
+    settings: Settings,
+    host: Host,
+    /// Each worker that was ever listed.
+    listed: BTreeMap<u32, WorkerEntry>,
+    /// Since when a worker has not been ready.
+    drained_at: BTreeMap<u32, Ms>,
+    proxies: Vec<Proxy>,
+}
+
+fn zone_of(number: u32) -> ZoneId {
+    ZoneId((number % ZONES) as u16)
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let own_zone = Operation { own_zone_only: true, ..operation() };
+        let zones = (0..ZONES).map(zone_of).collect();
+        let settings =
+            Settings { operations: vec![operation(), own_zone], zones, warm_up: 2000.0, ..settings() };
+        let new_entry = |id| (id, WorkerEntry { zone: zone_of(id), ..entry(id, Phase::Ready) });
+        let mut fleet = Fleet {
+            rng: fastrand::Rng::with_seed(seed),
+            host: Host::new(settings.clone()),
+            settings,
+            listed: (0..WORKERS).map(new_entry).collect(),
+            drained_at: BTreeMap::new(),
+            proxies: (0..PROXIES).map(|_| Proxy::default()).collect(),
+        };
+        fleet.restart_manager();
+        fleet
+    }
+
+    /// Starts a new manager, which remembers the current list. All streams end.
+    fn restart_manager(&mut self) {
+        (0..PROXIES).for_each(|proxy| self.end_stream(proxy));
+        let now = self.host.now;
+        self.host = Host { now, ..Host::new(self.settings.clone()) };
+        let present = self.listed.values().filter(|worker| worker.phase != Phase::Gone);
+        let remembered = list(ListKind::Remembered, present.cloned().collect());
+        self.host.turn(&[remembered]);
+    }
+
+    fn usable_workers(&self, proxy: &Proxy, op: u8) -> BTreeSet<u32> {
+        let lines = |table: &TableId| {
+            let of_table = self.host.weights.keys().filter(|(line_table, _)| line_table == table);
+            of_table.map(|(_, worker)| worker.0).collect()
+        };
+        let old = || proxy.old_tables.get(&op).cloned().unwrap_or_default();
+        let workers: BTreeSet<u32> = proxy.bound_tables.get(&op).map_or_else(old, lines);
+        workers.difference(&proxy.excluded).copied().collect()
+    }
+
+    fn end_stream(&mut self, number: u16) {
+        let proxy = &self.proxies[usize::from(number)];
+        let kept = (0..OPERATIONS).map(|op| (op, self.usable_workers(proxy, op))).collect();
+        let proxy = &mut self.proxies[usize::from(number)];
+        *proxy =
+            Proxy { old_tables: kept, excluded: std::mem::take(&mut proxy.excluded), ..Proxy::default() };
+    }
+
+    /// Lists a worker in its next phase: it drains, then it is gone, then it starts anew.
+    fn advance_worker(&mut self, id: u32) -> WorkerEntry {
+        let now = self.host.now;
+        let worker = self.listed.get_mut(&id).expect("a listed worker");
+        worker.phase = match worker.phase {
+            Phase::Ready => Phase::Draining,
+            Phase::Draining => Phase::Gone,
+            Phase::Gone => Phase::Ready,
+        };
+        if worker.phase == Phase::Ready {
+            worker.started_at = Some(now);
+            self.drained_at.remove(&id);
+        } else {
+            self.drained_at.entry(id).or_insert(now);
+        }
+        worker.clone()
+    }
+
+    fn random_events(&mut self) -> Vec<Event> {
+        let mut changed = Vec::new();
+        match self.rng.u32(0..40) {
+            // The workers of a zone change together.
+            0..2 => {
+                let zone = zone_of(self.rng.u32(0..ZONES));
+                let of_zone: Vec<u32> = (0..WORKERS).filter(|id| zone_of(*id) == zone).collect();
+                let phase = self.listed[&of_zone[0]].phase;
+                let alike = of_zone.into_iter().filter(|id| self.listed[id].phase == phase);
+                changed = alike.collect::<Vec<u32>>().into_iter().map(|id| self.advance_worker(id)).collect();
+            }
+            2..6 => {
+                let id = self.rng.u32(0..WORKERS);
+                changed.push(self.advance_worker(id));
+            }
+            6 => self.restart_manager(),
+            _ => {}
+        }
+        let mut events = Vec::new();
+        if !changed.is_empty() {
+            events.push(list_change(changed));
+        }
+        for proxy in 0..PROXIES {
+            let is_joined = self.proxies[usize::from(proxy)].joined_at.is_some();
+            if is_joined && self.rng.u32(0..100) == 0 {
+                self.end_stream(proxy);
+                events.push(Event::Left { proxy: ProxyId(proxy) });
+            } else if !is_joined && self.rng.u32(0..12) == 0 {
+                self.proxies[usize::from(proxy)].joined_at = Some(self.host.now);
+                let zone = zone_of(u32::from(proxy));
+                let (fresh, inv_per_second) = (false, 10.0);
+                events.push(Event::Joined { proxy: ProxyId(proxy), fresh, inv_per_second, zone });
+            } else if let (true, Some(mark)) = (is_joined, self.host.marks.last()) {
+                events.push(Event::MarkAcknowledged { mark: *mark, took: STEP, proxy: ProxyId(proxy) });
+            }
+        }
+        events
+    }
+
+    fn apply_orders(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Bind { table, ops, proxy } => self.bind(*table, *ops, *proxy),
+                Order::ExcludeWorker { worker, excluded } => self.exclude(worker.0, *excluded),
+                _ => {}
+            }
+        }
+    }
+
+    /// A proxy that is bound heeds the exclusions of this manager alone, and is sent those of the table.
+    fn bind(&mut self, table: TableId, ops: u32, proxy: ProxyId) {
+        let lines = self.host.weights.keys().filter(|(line_table, _)| *line_table == table);
+        let in_table: Vec<u32> = lines.map(|(_, worker)| worker.0).collect();
+        let excluded = in_table.into_iter().filter(|worker| self.host.is_excluded(*worker));
+        let excluded: Vec<u32> = excluded.collect();
+        let proxy = &mut self.proxies[usize::from(proxy.0)];
+        if proxy.bound_tables.is_empty() {
+            proxy.excluded.clear();
+        }
+        proxy.excluded.extend(excluded);
+        proxy.bound_tables.extend((0..OPERATIONS).filter(|op| ops >> op & 1 == 1).map(|op| (op, table)));
+    }
+
+    fn exclude(&mut self, worker: u32, excluded: bool) {
+        for proxy in self.proxies.iter_mut().filter(|proxy| proxy.joined_at.is_some()) {
+            match excluded {
+                true => proxy.excluded.insert(worker),
+                false => proxy.excluded.remove(&worker),
+            };
+        }
+    }
+
+    /// The rule that is broken at a proxy, if any.
+    fn violation(&mut self, number: u16) -> Option<String> {
+        let now = self.host.now;
+        let joined_at = self.proxies[usize::from(number)].joined_at?;
+        for op in 0..OPERATIONS {
+            let usable = self.usable_workers(&self.proxies[usize::from(number)], op);
+            let is_late = |worker: &&u32| {
+                let drained_at = self.drained_at.get(worker);
+                drained_at.is_some_and(|at| now > at.max(joined_at) + self.settings.drain_grace)
+            };
+            if let Some(worker) = usable.iter().find(is_late) {
+                return Some(format!("proxy {number} still picks worker {worker} for operation {op}"));
+            }
+            let has_warm_worker = self.listed.values().any(|worker| {
+                let started_at = worker.started_at.unwrap_or(f64::NEG_INFINITY);
+                worker.phase == Phase::Ready
+                    && now >= started_at + self.settings.warm_up
+                    && (op != OWN_ZONE || worker.zone == zone_of(u32::from(number)))
+            });
+            let bare_since = &mut self.proxies[usize::from(number)].bare_since;
+            if !usable.is_empty() || !has_warm_worker {
+                bare_since.remove(&op);
+            } else if now > *bare_since.entry(op).or_insert(now) + MAX_BARE {
+                return Some(format!("proxy {number} has no worker to pick for operation {op}"));
+            }
+        }
+        None
+    }
+}
+
+/// A proxy that counted as bound although it lacked a table was never sent that table, nor the drains of the workers in its
+/// old one.
+#[test]
+fn every_proxy_has_a_worker_to_pick_and_picks_no_drained_one() {
+    for seed in 0..HISTORIES {
+        let mut fleet = Fleet::new(seed);
+        for step in 0..STEPS {
+            let events = fleet.random_events();
+            let orders = fleet.host.advance(STEP, &events);
+            fleet.apply_orders(&orders);
+            let violation = (0..PROXIES).find_map(|proxy| fleet.violation(proxy));
+            assert_eq!(violation, None, "seed {seed}, step {step}");
+        }
+    }
+}
