Order writer: the line of an excluded worker comes with its exclusion

Cause: an exclusion holds for all proxies of a manager, and the planner sends it once. A proxy that is bound later gets those of its tables' lines; the line of an excluded worker that entered a table afterwards was sent alone.

Change: write_message adds the exclusion where it was not sent over this stream.

Measured: the_line_of_an_excluded_worker_comes_with_its_exclusion_where_that_was_not_sent (order writer) fails before, with "push lines=b:0.5" for the proxy bound later, and passes.

--- a/crates/manager/src/order_writer.rs
+++ b/crates/manager/src/order_writer.rs
@@ -311,14 +311,17 @@
             } else {
                 update.lines.remove(&table_id).unwrap_or_default()
             };
-            // A worker with a line must not stay excluded only because another manager excluded it at this proxy
-            // earlier.
+            // An excluded worker's line comes with the exclusion, unless it was sent over this stream. Any other worker must
+            // not stay excluded only because another manager excluded it at this proxy earlier.
             for worker in lines.iter().filter(|(_, weight)| **weight > 0.0).map(|(worker, _)| *worker) {
                 let should_exclude = self.excluded.contains(&worker);
                 let is_uncertain = worker >= proxy.uncertain_from && self.maybe_excluded.contains(&worker);
-                let excluded_at_proxy =
-                    proxy.exclusions.get(&worker).map_or(is_uncertain, |excluded| *excluded);
-                if should_exclude && is_full || !should_exclude && excluded_at_proxy {
+                let sent_exclusion = proxy.exclusions.get(&worker).copied();
+                let differs = match should_exclude {
+                    true => is_full || sent_exclusion != Some(true),
+                    false => sent_exclusion.unwrap_or(is_uncertain),
+                };
+                if differs {
                     update.exclusions.entry(worker).or_insert(should_exclude);
                 }
             }
--- a/crates/manager/src/order_writer/tests.rs
+++ b/crates/manager/src/order_writer/tests.rs
@@ -114,6 +114,26 @@
     );
 }
 
+/// A proxy that was bound after a worker had left its table was not sent the worker's exclusion. If the worker came back
+/// into the table and drained again before it was readmitted, that proxy kept using it.
+#[test]
+fn the_line_of_an_excluded_worker_comes_with_its_exclusion_where_that_was_not_sent() {
+    let mut order_writer = order_writer(1);
+    write(&mut order_writer, &[line(TABLE, 0, 1.0), line(TABLE, 1, 1.0), bind(TABLE, 0, 0)]);
+    write(&mut order_writer, &[exclude(1, true)]);
+    write(&mut order_writer, &[line(TABLE, 1, 0.0)]);
+    order_writer.add_proxy(ProxyId(1), true);
+    write(&mut order_writer, &[bind(TABLE, 0, 1)]);
+    // The worker has started again; it is readmitted once this line is acknowledged.
+    let lines = write(&mut order_writer, &[line(TABLE, 1, 0.5)]);
+    assert_eq!(
+        lines,
+        [(0, "push lines=b:0.5\r\n".to_string(), 1), (1, "push lines=b:0.5 out=b\r\n".to_string(), 2)]
+    );
+    assert_eq!(write(&mut order_writer, &[line(TABLE, 1, 0.6)])[1].1, "push lines=b:0.6\r\n");
+    assert_eq!(write(&mut order_writer, &[exclude(1, false)])[1].1, "push back=b\r\n");
+}
+
 #[test]
 fn a_full_table_comes_with_its_levels_and_the_lower_of_two_levels_applies() {
     let mut order_writer = order_writer(1);
--- a/tests/binding_histories.rs
+++ b/tests/binding_histories.rs
@@ -78,14 +78,15 @@
         self.host.turn(&[remembered]);
     }
 
+    /// The workers that a proxy may pick. In a table of this manager it heeds this manager's exclusions; in the one that it
+    /// came with, those that it was sent.
     fn usable_workers(&self, proxy: &Proxy, op: u8) -> BTreeSet<u32> {
-        let lines = |table: &TableId| {
-            let of_table = self.host.weights.keys().filter(|(line_table, _)| line_table == table);
-            of_table.map(|(_, worker)| worker.0).collect()
+        let Some(table) = proxy.bound_tables.get(&op) else {
+            let old_table = proxy.old_tables.get(&op).cloned().unwrap_or_default();
+            return old_table.difference(&proxy.excluded).copied().collect();
         };
-        let old = || proxy.old_tables.get(&op).cloned().unwrap_or_default();
-        let workers: BTreeSet<u32> = proxy.bound_tables.get(&op).map_or_else(old, lines);
-        workers.difference(&proxy.excluded).copied().collect()
+        let lines = self.host.weights.keys().filter(|(line_table, _)| line_table == table);
+        lines.map(|(_, worker)| worker.0).filter(|worker| !self.host.is_excluded(*worker)).collect()
     }
 
     fn end_stream(&mut self, number: u16) {
@@ -163,17 +164,12 @@
         }
     }
 
-    /// A proxy that is bound heeds the exclusions of this manager alone, and is sent those of the table.
     fn bind(&mut self, table: TableId, ops: u32, proxy: ProxyId) {
-        let lines = self.host.weights.keys().filter(|(line_table, _)| *line_table == table);
-        let in_table: Vec<u32> = lines.map(|(_, worker)| worker.0).collect();
-        let excluded = in_table.into_iter().filter(|worker| self.host.is_excluded(*worker));
-        let excluded: Vec<u32> = excluded.collect();
         let proxy = &mut self.proxies[usize::from(proxy.0)];
+        // A proxy that is bound heeds no other manager's exclusions any more.
         if proxy.bound_tables.is_empty() {
             proxy.excluded.clear();
         }
-        proxy.excluded.extend(excluded);
         proxy.bound_tables.extend((0..OPERATIONS).filter(|op| ops >> op & 1 == 1).map(|op| (op, table)));
     }
 
