Tests: the histories of a partitioned fleet

Cause: the histories so far have one table for each zone; partitions are where a table may lack every worker.

Change: the histories take a size; ten of them have 120 workers, 60 proxies and 40 zones, in partitions. The small ones stay as they were.

--- a/tests/binding_histories.rs
+++ b/tests/binding_histories.rs
@@ -9,18 +9,27 @@
 use juniperrail_interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-const HISTORIES: u64 = 300;
 const STEPS: u32 = 240;
 const STEP: Ms = 250.0;
-const ZONES: u32 = 3;
-const WORKERS: u32 = 12;
-const PROXIES: u16 = 6;
 const OPERATIONS: u8 = 2;
 /// The operation that stays within the proxy's zone; the other may go to any worker.
 const OWN_ZONE: u8 = 1;
 /// How long a proxy may have no worker to pick, although a warm one is listed as ready: `domain.bare-ms`.
 const MAX_BARE: Ms = 7300.0;
 
+/// How many there are of what a history is about.
+#[derive(Clone, Copy)]
+struct Size {
+    workers: u32,
+    proxies: u16,
+    zones: u32,
+}
+
+/// One table for each zone, and one for all.
+const SMALL: Size = Size { workers: 12, proxies: 6, zones: 3 };
+/// A fleet that is partitioned, so that partitions have few workers of a zone, or none.
+const PARTITIONED: Size = Size { workers: 120, proxies: 60, zones: 40 };
+
 /// What a proxy has, as the protocol describes it.
 #[derive(Default)]
 struct Proxy {
@@ -35,6 +44,7 @@
 }
 
 struct Fleet {
+    size: Size,
     rng: fastrand::Rng,
     settings: Settings,
     host: Host,
@@ -45,24 +55,27 @@
     proxies: Vec<Proxy>,
 }
 
-fn zone_of(number: u32) -> ZoneId {
-    ZoneId((number % ZONES) as u16)
+impl Size {
+    fn zone_of(self, number: u32) -> ZoneId {
+        ZoneId((number % self.zones) as u16)
+    }
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Fleet {
+    fn new(seed: u64, size: Size) -> Fleet {
         let own_zone = Operation { own_zone_only: true, ..operation() };
-        let zones = (0..ZONES).map(zone_of).collect();
-        let settings =
-            Settings { operations: vec![operation(), own_zone], zones, warm_up: 2000.0, ..settings() };
-        let new_entry = |id| (id, WorkerEntry { zone: zone_of(id), ..entry(id, Phase::Ready) });
+        let zones = (0..size.zones).map(|zone| size.zone_of(zone)).collect();
+        let operations = vec![operation(), own_zone];
+        let settings = Settings { operations, zones, warm_up: 2000.0, ..settings() };
+        let new_entry = |id| (id, WorkerEntry { zone: size.zone_of(id), ..entry(id, Phase::Ready) });
         let mut fleet = Fleet {
+            size,
             rng: fastrand::Rng::with_seed(seed),
             host: Host::new(settings.clone()),
             settings,
-            listed: (0..WORKERS).map(new_entry).collect(),
+            listed: (0..size.workers).map(new_entry).collect(),
             drained_at: BTreeMap::new(),
-            proxies: (0..PROXIES).map(|_| Proxy::default()).collect(),
+            proxies: (0..size.proxies).map(|_| Proxy::default()).collect(),
         };
         fleet.restart_manager();
         fleet
@@ -70,7 +83,7 @@
 
     /// Starts a new manager, which remembers the current list. All streams end.
     fn restart_manager(&mut self) {
-        (0..PROXIES).for_each(|proxy| self.end_stream(proxy));
+        (0..self.size.proxies).for_each(|proxy| self.end_stream(proxy));
         let now = self.host.now;
         self.host = Host { now, ..Host::new(self.settings.clone()) };
         let present = self.listed.values().filter(|worker| worker.phase != Phase::Gone);
@@ -120,14 +133,15 @@
         match self.rng.u32(0..40) {
             // The workers of a zone change together.
             0..2 => {
-                let zone = zone_of(self.rng.u32(0..ZONES));
-                let of_zone: Vec<u32> = (0..WORKERS).filter(|id| zone_of(*id) == zone).collect();
+                let zone = self.size.zone_of(self.rng.u32(0..self.size.zones));
+                let of_zone: Vec<u32> =
+                    (0..self.size.workers).filter(|id| self.size.zone_of(*id) == zone).collect();
                 let phase = self.listed[&of_zone[0]].phase;
                 let alike = of_zone.into_iter().filter(|id| self.listed[id].phase == phase);
                 changed = alike.collect::<Vec<u32>>().into_iter().map(|id| self.advance_worker(id)).collect();
             }
             2..6 => {
-                let id = self.rng.u32(0..WORKERS);
+                let id = self.rng.u32(0..self.size.workers);
                 changed.push(self.advance_worker(id));
             }
             6 => self.restart_manager(),
@@ -137,14 +151,14 @@
         if !changed.is_empty() {
             events.push(list_change(changed));
         }
-        for proxy in 0..PROXIES {
+        for proxy in 0..self.size.proxies {
             let is_joined = self.proxies[usize::from(proxy)].joined_at.is_some();
             if is_joined && self.rng.u32(0..100) == 0 {
                 self.end_stream(proxy);
                 events.push(Event::Left { proxy: ProxyId(proxy) });
             } else if !is_joined && self.rng.u32(0..12) == 0 {
                 self.proxies[usize::from(proxy)].joined_at = Some(self.host.now);
-                let zone = zone_of(u32::from(proxy));
+                let zone = self.size.zone_of(u32::from(proxy));
                 let (fresh, inv_per_second) = (false, 10.0);
                 events.push(Event::Joined { proxy: ProxyId(proxy), fresh, inv_per_second, zone });
             } else if let (true, Some(mark)) = (is_joined, self.host.marks.last()) {
@@ -199,7 +213,7 @@
                 let started_at = worker.started_at.unwrap_or(f64::NEG_INFINITY);
                 worker.phase == Phase::Ready
                     && now >= started_at + self.settings.warm_up
-                    && (op != OWN_ZONE || worker.zone == zone_of(u32::from(number)))
+                    && (op != OWN_ZONE || worker.zone == self.size.zone_of(u32::from(number)))
             });
             let bare_since = &mut self.proxies[usize::from(number)].bare_since;
             if !usable.is_empty() || !has_warm_worker {
@@ -212,18 +226,28 @@
     }
 }
 
-/// A proxy that counted as bound although it lacked a table was never sent that table, nor the drains of the workers in its
-/// old one.
-#[test]
-fn every_proxy_has_a_worker_to_pick_and_picks_no_drained_one() {
-    for seed in 0..HISTORIES {
-        let mut fleet = Fleet::new(seed);
+fn check_histories(size: Size, count: u64) {
+    for seed in 0..count {
+        let mut fleet = Fleet::new(seed, size);
         for step in 0..STEPS {
             let events = fleet.random_events();
             let orders = fleet.host.advance(STEP, &events);
             fleet.apply_orders(&orders);
-            let violation = (0..PROXIES).find_map(|proxy| fleet.violation(proxy));
+            let violation = (0..size.proxies).find_map(|proxy| fleet.violation(proxy));
             assert_eq!(violation, None, "seed {seed}, step {step}");
         }
     }
 }
+
+/// A proxy that counted as bound although it lacked a table was never sent that table, nor the drains of the workers in its
+/// old one.
+#[test]
+fn every_proxy_has_a_worker_to_pick_and_picks_no_drained_one() {
+    check_histories(SMALL, 300);
+}
+
+/// As above, where a partition may have no worker for one of its tables.
+#[test]
+fn every_proxy_of_a_partition_has_a_worker_to_pick_and_picks_no_drained_one() {
+    check_histories(PARTITIONED, 10);
+}
