Planner: a readmission waits for the first weight alone, not for its changes

Cause: add_ordering put every change of an excluded worker's lines before its readmission, where the design names the line that gives it its first weight. In a full channel the smallest changes are sent last, and weights go on changing: in the trace a change of 0.02 in another table blocked the readmission for 6 s, until the test ended.

Change: updates know when they were last sent. The pair is added, and kept, only until the line has been sent since the exclusion and is acknowledged.

Why it works: what the order is for, that no proxy uses the worker at a weight from before its start, is true from that acknowledgement on.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,8 @@
     desired: f64,
     /// NaN where it is unknown what the proxies have.
     sent: f64,
+    /// When the last write was sent.
+    sent_at: Ms,
     /// The mark sent after the last write, until all bound proxies have acknowledged it.
     awaited_mark: Option<u64>,
     /// Whether another manager may have excluded the worker since this line was sent; the next write may then have to
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -170,6 +170,7 @@
         }
         let update = self.updates.get_mut(&key).expect("a known key");
         update.sent = update.desired;
+        update.sent_at = self.now;
         update.readmission_uncertain = false;
         update.awaited_mark = (!receivers.is_empty()).then_some(self.last_mark + 1);
         let value = update.desired;
--- a/src/updates.rs
+++ b/src/updates.rs
@@ -28,7 +28,7 @@
         let is_removal = self.updates[&key].desired == 0.0;
         match key {
             UpdateKey::Line(_, id) if is_removal => self.order_before(UpdateKey::Exclusion(id), key),
-            UpdateKey::Line(_, id) if self.is_excluded(id) => {
+            UpdateKey::Line(_, id) if self.is_excluded(id) && self.awaits_first_weight(key, id) => {
                 self.order_before(key, UpdateKey::Exclusion(id))
             }
             UpdateKey::Exclusion(id) if !is_removal => {
@@ -47,6 +47,27 @@
         }
     }
 
+    /// Whether some proxy may not have the weight that a line gives its excluded worker: the line was not sent since the
+    /// exclusion, or is not acknowledged. Later changes of the weight do not count: in a full channel they would follow
+    /// each other, and the worker would never be readmitted.
+    fn awaits_first_weight(&self, line: UpdateKey, worker: WorkerId) -> bool {
+        let line = &self.updates[&line];
+        let sent_since_exclusion = line.sent_at > self.updates[&UpdateKey::Exclusion(worker)].sent_at;
+        !(line.sent > 0.0 && sent_since_exclusion && line.awaited_mark.is_none())
+    }
+
+    /// Whether the second update of an ordered pair still has to wait for the first.
+    fn is_order_needed(&self, pair: &(UpdateKey, UpdateKey)) -> bool {
+        let is_pending = self.pending.contains(&pair.0) && self.pending.contains(&pair.1);
+        let may_precede = match *pair {
+            (UpdateKey::Line(_, id), UpdateKey::Exclusion(excluded)) if id == excluded => {
+                !self.awaits_first_weight(pair.0, id)
+            }
+            _ => false,
+        };
+        is_pending && !may_precede
+    }
+
     /// The lines of a table, by worker.
     pub(crate) fn lines(&self, table: TableId) -> impl Iterator<Item = (WorkerId, &UpdateState)> {
         let first = UpdateKey::Line(table, WorkerId(0));
@@ -152,6 +173,8 @@
             }
             update.awaited_mark.is_some() || update.desired != update.sent
         });
-        self.ordered_pairs.retain(|pair, _| self.pending.contains(&pair.0) && self.pending.contains(&pair.1));
+        let mut ordered_pairs = std::mem::take(&mut self.ordered_pairs);
+        ordered_pairs.retain(|pair, _| self.is_order_needed(pair));
+        self.ordered_pairs = ordered_pairs;
     }
 }
--- a/tests/binding_histories.rs
+++ b/tests/binding_histories.rs
@@ -30,6 +30,8 @@
 /// A fleet that is partitioned, so that partitions have few workers of a zone, or none.
 const PARTITIONED: Size = Size { workers: 120, proxies: 60, zones: 40 };
 
+const FULL_CHANNEL: Size = Size { zones: 12, ..PARTITIONED };
+
 /// What a proxy has, as the protocol describes it.
 #[derive(Default)]
 struct Proxy {
@@ -251,3 +253,9 @@
 fn every_proxy_of_a_partition_has_a_worker_to_pick_and_picks_no_drained_one() {
     check_histories(PARTITIONED, 10);
 }
+
+/// As above, with more workers in a zone, so that their weights change more often than the channel carries.
+#[test]
+fn every_proxy_behind_a_full_channel_has_a_worker_to_pick_and_picks_no_drained_one() {
+    check_histories(FULL_CHANNEL, 12);
+}
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -119,6 +119,28 @@
     assert!(host.weight(0) == 0.0 && host.weight(1) > 0.0);
 }
 
+/// A worker that had started again was never readmitted while the channel was full: its weight went on changing, and each
+/// change had to be acknowledged first.
+#[test]
+fn readmission_waits_for_the_first_weight_and_not_for_its_changes() {
+    let mut host = Host::running(settings(), 4, 2);
+    host.advance(600.0, &[list_change(vec![entry(0, Phase::Draining)])]);
+    host.run_seconds(2, 2, &[]);
+    assert!(host.is_excluded(0) && host.weight(0) == 0.0);
+    let started = restarted_entry(0, host.now);
+    host.advance(600.0, &[list_change(vec![started.clone()])]);
+    assert!(host.is_excluded(0) && host.weight(0) > 0.0, "the first weight is sent and not acknowledged");
+    let mark = *host.marks.last().unwrap();
+    let acknowledgement = |proxy| Event::MarkAcknowledged { mark, took: 1.0, proxy: ProxyId(proxy) };
+    host.advance(50.0, &[acknowledgement(0)]);
+    assert!(host.is_excluded(0), "one proxy has not acknowledged the first weight");
+    let first_weight = host.weight(0);
+    let changed = list_change(vec![WorkerEntry { weight: 2.0, ..started }]);
+    host.advance(50.0, &[acknowledgement(1), changed]);
+    assert_eq!(host.weight(0), first_weight, "the change is batched");
+    assert!(!host.is_excluded(0));
+}
+
 #[test]
 fn next_bind_restores_state_after_lost_connection() {
     let mut host = Host::running(settings(), 4, 2);
