Planner: only a manager that was never told of a worker leaves proxies unbound

Cause: the bound on a proxy's wait exempted a manager that knows no worker at the moment. Workers that are gone are forgotten.

Change: it exempts a manager to which no worker was ever listed.

Measured: proxy_that_returns_after_all_workers_are_gone_picks_none_of_them_past_the_grace fails before and passes.

--- a/src/events.rs
+++ b/src/events.rs
@@ -138,6 +138,7 @@
                 _ = self.updates.get_mut(&line).map(|update| update.readmission_uncertain = true)
             });
         }
+        self.has_listed_workers = true;
         let stopped_being_ready = worker.listed.phase == Phase::Ready && listed.phase != Phase::Ready;
         worker.drain_requested_at = if stopped_being_ready { now } else { worker.drain_requested_at };
         worker.listed = listed;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -150,6 +150,8 @@
     /// Time of the current turn.
     now: Ms,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Whether any worker was ever listed. Those that are gone are forgotten after some time.
+    has_listed_workers: bool,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// When messages were sent to each proxy, as far as they may still count within `Settings::message_window`.
     message_times: BTreeMap<ProxyId, VecDeque<Ms>>,
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -222,11 +222,11 @@
     ///
     /// A proxy waits for usable lines for [`OVERDUE_DRAIN_GRACE_RATIO`] of the drain grace. Then it is bound all the same:
     /// the exclusions of the workers that drained before it joined are not sent again, and its old table may have them.
-    /// Only a manager that knows no worker leaves the proxy what it has.
+    /// Only a manager that was never told of a worker leaves the proxy what it has.
     fn bind_proxy(&mut self, id: ProxyId, line_limit: f64) -> bool {
         let proxy = &self.proxies[&id];
         let max_wait = OVERDUE_DRAIN_GRACE_RATIO * self.settings.drain_grace;
-        let is_overdue = self.now >= proxy.unbound_since + max_wait && !self.workers.is_empty();
+        let is_overdue = self.now >= proxy.unbound_since + max_wait && self.has_listed_workers;
         let lacks = |table: &&Table| table.ops.iter().any(|op| proxy.unbound_ops.contains(op));
         let lacked = self.tables_for(proxy).filter(lacks);
         let bindable = lacked.filter(|table| is_overdue || self.has_usable_line(table.id));
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -110,6 +110,23 @@
     assert_eq!(usable_workers(&host, PROXY, ANY_ZONE), Some(vec![4]));
 }
 
+/// As above, where the workers are gone by then, and the manager has forgotten them.
+#[test]
+fn proxy_that_returns_after_all_workers_are_gone_picks_none_of_them_past_the_grace() {
+    let settings = settings();
+    let mut host = Host::running(settings.clone(), 4, 1);
+    host.advance(600.0, &[Event::Left { proxy: ProxyId(PROXY) }]);
+    host.bound_tables.clear();
+    host.advance(600.0, &[list(ListKind::Full, Vec::new())]);
+    host.run_seconds(8, 0, &[]);
+    let returned_at = host.now;
+    host.turn(&[joined(PROXY)]);
+    while host.now < returned_at + last_send(&settings) {
+        host.advance(100.0, &[]);
+    }
+    assert_eq!(usable_workers(&host, PROXY, ANY_ZONE), Some(vec![]));
+}
+
 /// A proxy that is not yet bound for an operation may have any worker in its old table for it, so that exclusions are
 /// also sent to it, and their lines are counted.
 #[test]
