Planner: a table is widened only where its partition has no ready worker

Cause: tables were also widened where a partition had only cold workers and another had warm ones.

Change: widen_tables looks at ready workers alone.

The tests of partitions pass as before.

--- a/src/partitions.rs
+++ b/src/partitions.rs
@@ -62,23 +62,17 @@
         }
     }
 
-    /// Adds the workers of all partitions to each table whose partition has no worker for it, while another has one: no
-    /// ready worker, or only cold ones while another has a warm one. They stay: without them, the first worker that returns
-    /// to the partition would get all of the table's demand while it is cold.
+    /// Adds the workers of all partitions to each table whose partition has no ready worker for it, while another has one.
+    /// They stay: without them, the first worker that returns to the partition would get all of the table's demand while it
+    /// is cold.
     pub(crate) fn widen_tables(&mut self) {
         let is_ready = |worker: &&Worker| worker.listed.phase == Phase::Ready;
-        let is_warm = |worker: &&Worker| self.warm_up_ratio(&worker.listed) >= 1.0;
-        let ready: Vec<&Worker> = self.workers.values().filter(is_ready).collect();
-        let warm: Vec<&Worker> = ready.iter().copied().filter(is_warm).collect();
-        let has_only_elsewhere = |table: &Table, workers: &[&Worker]| {
-            !workers.iter().any(|worker| table.includes(worker))
-                && workers.iter().any(|worker| table.is_open_to(worker))
+        let ready_workers: Vec<&Worker> = self.workers.values().filter(is_ready).collect();
+        let has_workers_only_elsewhere = |table: &Table| {
+            !ready_workers.iter().any(|worker| table.includes(worker))
+                && ready_workers.iter().any(|worker| table.is_open_to(worker))
         };
-        let widened: Vec<bool> = self
-            .tables
-            .iter()
-            .map(|table| has_only_elsewhere(table, &ready) || has_only_elsewhere(table, &warm))
-            .collect();
+        let widened: Vec<bool> = self.tables.iter().map(has_workers_only_elsewhere).collect();
         for (table, is_widened) in self.tables.iter_mut().zip(widened) {
             table.spans_partitions |= is_widened;
         }
