--- a/crates/manager/src/order_writer.rs
+++ b/crates/manager/src/order_writer.rs
@@ -311,8 +311,8 @@
             } else {
                 update.lines.remove(&table_id).unwrap_or_default()
             };
-            // An excluded worker's line comes with the exclusion, unless it was sent over this stream. Any other worker must
-            // not stay excluded only because another manager excluded it at this proxy earlier.
+            // An excluded worker's line comes with the exclusion, unless it was sent over this stream. Any other
+            // worker must not stay excluded only because another manager excluded it at this proxy earlier.
             for worker in lines.iter().filter(|(_, weight)| **weight > 0.0).map(|(worker, _)| *worker) {
                 let should_exclude = self.excluded.contains(&worker);
                 let is_uncertain = worker >= proxy.uncertain_from && self.maybe_excluded.contains(&worker);
--- a/crates/manager/src/order_writer/tests.rs
+++ b/crates/manager/src/order_writer/tests.rs
@@ -114,8 +114,8 @@
     );
 }
 
-/// A proxy that was bound after a worker had left its table was not sent the worker's exclusion. If the worker came back
-/// into the table and drained again before it was readmitted, that proxy kept using it.
+/// A proxy that was bound after a worker had left its table was not sent the worker's exclusion. If the worker came
+/// back into the table and drained again before it was readmitted, that proxy kept using it.
 #[test]
 fn the_line_of_an_excluded_worker_comes_with_its_exclusion_where_that_was_not_sent() {
     let mut order_writer = order_writer(1);
--- a/src/partitions.rs
+++ b/src/partitions.rs
@@ -62,9 +62,9 @@
         }
     }
 
-    /// Adds the workers of all partitions to each table whose partition has no ready worker for it, while another has one.
-    /// They stay: without them, the first worker that returns to the partition would get all of the table's demand while it
-    /// is cold.
+    /// Adds the workers of all partitions to each table whose partition has no ready worker for it, while another has
+    /// one. They stay: without them, the first worker that returns to the partition would get all of the table's
+    /// demand while it is cold.
     pub(crate) fn widen_tables(&mut self) {
         let is_ready = |worker: &&Worker| worker.listed.phase == Phase::Ready;
         let ready_workers: Vec<&Worker> = self.workers.values().filter(is_ready).collect();
@@ -103,9 +103,9 @@
         (0..self.settings.operations.len()).collect()
     }
 
-    /// Assigns each proxy that is bound to none of its tables, given as its rate (invocations a second) and id, to the partition with the least
-    /// load. A proxy that would be over half of a partition's mean load gets the tables of the whole fleet, unless the
-    /// fleet is too large for one table.
+    /// Assigns each proxy that is bound to none of its tables, given as its rate (invocations a second) and id, to the
+    /// partition with the least load. A proxy that would be over half of a partition's mean load gets the tables of the
+    /// whole fleet, unless the fleet is too large for one table.
     pub(crate) fn assign_partitions(&mut self, unbound: &[(f64, ProxyId)]) {
         // By partition: the sum of its proxies' rates.
         let mut partition_loads = vec![0.0; self.partition_count];
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -220,9 +220,9 @@
     /// Binds a joined proxy to the tables that it lacks, if their lines fit within `line_limit`; a table without usable
     /// lines is left for a later bind. Returns false where the lines do not fit.
     ///
-    /// A proxy waits for usable lines for [`OVERDUE_DRAIN_GRACE_RATIO`] of the drain grace. Then it is bound all the same:
-    /// the exclusions of the workers that drained before it joined are not sent again, and its old table may have them.
-    /// Only a manager that was never told of a worker leaves the proxy what it has.
+    /// A proxy waits for usable lines for [`OVERDUE_DRAIN_GRACE_RATIO`] of the drain grace. Then it is bound all the
+    /// same: the exclusions of the workers that drained before it joined are not sent again, and its old table may
+    /// have them. Only a manager that was never told of a worker leaves the proxy what it has.
     fn bind_proxy(&mut self, id: ProxyId, line_limit: f64) -> bool {
         let proxy = &self.proxies[&id];
         let max_wait = OVERDUE_DRAIN_GRACE_RATIO * self.settings.drain_grace;
--- a/src/updates.rs
+++ b/src/updates.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Whether some proxy may not have the weight that a line gives its excluded worker: the line was not sent since the
-    /// exclusion, or is not acknowledged. Later changes of the weight do not count: in a full channel they would follow
-    /// each other, and the worker would never be readmitted.
+    /// Whether some proxy may not have the weight that a line gives its excluded worker: the line was not sent since
+    /// the exclusion, or is not acknowledged. Later changes of the weight do not count: in a full channel they would
+    /// follow each other, and the worker would never be readmitted.
     fn awaits_first_weight(&self, line: UpdateKey, worker: WorkerId) -> bool {
         let line = &self.updates[&line];
         let sent_since_exclusion = line.sent_at > self.updates[&UpdateKey::Exclusion(worker)].sent_at;
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -28,8 +28,8 @@
     host
 }
 
-/// The workers that a proxy may pick for an operation; `None` while it is not bound to a table for it and has what it came
-/// with.
+/// The workers that a proxy may pick for an operation; `None` while it is not bound to a table for it and has what it
+/// came with.
 fn usable_workers(host: &Host, proxy: u16, op: u8) -> Option<Vec<u32>> {
     let table = host.bound_tables.get(&(ProxyId(proxy), OpId(op)))?;
     let lines = host.weights.keys().filter(|(line_table, _)| line_table == table);
@@ -188,8 +188,8 @@
     host
 }
 
-/// A partition need not have a worker of each zone: its proxies of such a zone were bound to no table for an operation that
-/// stays within the zone, or to one without lines, while the zone had workers in other partitions.
+/// A partition need not have a worker of each zone: its proxies of such a zone were bound to no table for an
+/// operation that stays within the zone, or to one without lines, while the zone had workers in other partitions.
 #[test]
 fn proxy_of_a_partition_without_workers_of_its_zone_gets_those_of_other_partitions() {
     let mut host = partitioned_fleet(&SMALL_ZONE_WORKERS);
--- a/tests/binding_histories.rs
+++ b/tests/binding_histories.rs
@@ -1,6 +1,7 @@
-//! Random histories of a small fleet with an operation that stays within the proxy's zone: zones drain, workers start,
-//! proxies lose their streams and return with old tables, and the manager restarts. After each step two rules are checked
-//! at every proxy: it has a worker to pick, and it picks none that drains or is gone. Orders take effect at once.
+//! Random histories of a small fleet with an operation that stays within the proxy's zone: zones drain, workers
+//! start, proxies lose their streams and return with old tables, and the manager restarts. After each step two rules
+//! are checked at every proxy: it has a worker to pick, and it picks none that drains or is gone. Orders take effect
+//! at once.
 
 #[allow(dead_code)] // This test uses only some of the helpers.
 mod host;
@@ -93,8 +94,8 @@
         self.host.turn(&[remembered]);
     }
 
-    /// The workers that a proxy may pick. In a table of this manager it heeds this manager's exclusions; in the one that it
-    /// came with, those that it was sent.
+    /// The workers that a proxy may pick. In a table of this manager it heeds this manager's exclusions; in the one
+    /// that it came with, those that it was sent.
     fn usable_workers(&self, proxy: &Proxy, op: u8) -> BTreeSet<u32> {
         let Some(table) = proxy.bound_tables.get(&op) else {
             let old_table = proxy.old_tables.get(&op).cloned().unwrap_or_default();
@@ -241,8 +242,8 @@
     }
 }
 
-/// A proxy that counted as bound although it lacked a table was never sent that table, nor the drains of the workers in its
-/// old one.
+/// A proxy that counted as bound although it lacked a table was never sent that table, nor the drains of the workers
+/// in its old one.
 #[test]
 fn every_proxy_has_a_worker_to_pick_and_picks_no_drained_one() {
     check_histories(SMALL, 300);
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -119,8 +119,8 @@
     assert!(host.weight(0) == 0.0 && host.weight(1) > 0.0);
 }
 
-/// A worker that had started again was never readmitted while the channel was full: its weight went on changing, and each
-/// change had to be acknowledged first.
+/// A worker that had started again was never readmitted while the channel was full: its weight went on changing, and
+/// each change had to be acknowledged first.
 #[test]
 fn readmission_waits_for_the_first_weight_and_not_for_its_changes() {
     let mut host = Host::running(settings(), 4, 2);
