--- a/tests/binding_histories.rs
+++ b/tests/binding_histories.rs
@@ -94,15 +94,19 @@
         self.host.turn(&[remembered]);
     }
 
-    /// The workers that a proxy may pick. In a table of this manager it heeds this manager's exclusions; in the one
-    /// that it came with, those that it was sent.
+    /// The workers with a line in a table.
+    fn workers_in(&self, table: TableId) -> BTreeSet<u32> {
+        let lines = self.host.weights.keys().filter(|(line_table, _)| *line_table == table);
+        lines.map(|(_, worker)| worker.0).collect()
+    }
+
+    /// The workers that a proxy may pick: those of its table but for the exclusions that it was sent.
     fn usable_workers(&self, proxy: &Proxy, op: u8) -> BTreeSet<u32> {
-        let Some(table) = proxy.bound_tables.get(&op) else {
-            let old_table = proxy.old_tables.get(&op).cloned().unwrap_or_default();
-            return old_table.difference(&proxy.excluded).copied().collect();
+        let workers = match proxy.bound_tables.get(&op) {
+            Some(table) => self.workers_in(*table),
+            None => proxy.old_tables.get(&op).cloned().unwrap_or_default(),
         };
-        let lines = self.host.weights.keys().filter(|(line_table, _)| line_table == table);
-        lines.map(|(_, worker)| worker.0).filter(|worker| !self.host.is_excluded(*worker)).collect()
+        workers.difference(&proxy.excluded).copied().collect()
     }
 
     fn end_stream(&mut self, number: u16) {
@@ -175,30 +179,55 @@
         for order in orders {
             match order {
                 Order::Bind { table, ops, proxy } => self.bind(*table, *ops, *proxy),
-                Order::ExcludeWorker { worker, excluded } => self.exclude(worker.0, *excluded),
+                Order::SetLine { table, worker, weight } if *weight > 0.0 => self.set_line(*table, worker.0),
+                Order::ExcludeWorker { worker, .. } => self.exclude(worker.0),
                 _ => {}
             }
         }
     }
 
+    /// A proxy that is bound heeds no other manager's exclusions any more. The table comes with those of its workers.
     fn bind(&mut self, table: TableId, ops: u32, proxy: ProxyId) {
-        let proxy = &mut self.proxies[usize::from(proxy.0)];
-        // A proxy that is bound heeds no other manager's exclusions any more.
-        if proxy.bound_tables.is_empty() {
-            proxy.excluded.clear();
+        let in_table = self.workers_in(table);
+        let bound = &mut self.proxies[usize::from(proxy.0)];
+        if bound.bound_tables.is_empty() {
+            bound.excluded.clear();
         }
-        proxy.bound_tables.extend((0..OPERATIONS).filter(|op| ops >> op & 1 == 1).map(|op| (op, table)));
+        bound.bound_tables.extend((0..OPERATIONS).filter(|op| ops >> op & 1 == 1).map(|op| (op, table)));
+        in_table.into_iter().for_each(|worker| self.send_exclusion(usize::from(proxy.0), worker));
     }
 
-    fn exclude(&mut self, worker: u32, excluded: bool) {
-        for proxy in self.proxies.iter_mut().filter(|proxy| proxy.joined_at.is_some()) {
-            match excluded {
-                true => proxy.excluded.insert(worker),
-                false => proxy.excluded.remove(&worker),
-            };
+    /// A line goes to the proxies that are bound to its table, and says whether its worker is excluded.
+    fn set_line(&mut self, table: TableId, worker: u32) {
+        for number in 0..self.proxies.len() {
+            if self.proxies[number].bound_tables.values().any(|bound_table| *bound_table == table) {
+                self.send_exclusion(number, worker);
+            }
         }
     }
 
+    /// An exclusion, or its end, goes to the proxies that have a line of the worker or lack a table.
+    fn exclude(&mut self, worker: u32) {
+        for number in 0..self.proxies.len() {
+            let proxy = &self.proxies[number];
+            let lacks_table = proxy.bound_tables.len() < usize::from(OPERATIONS);
+            let has_line = proxy.bound_tables.values().any(|table| self.workers_in(*table).contains(&worker));
+            if proxy.joined_at.is_some() && (lacks_table || has_line) {
+                self.send_exclusion(number, worker);
+            }
+        }
+    }
+
+    /// Tells a proxy whether a worker is excluded.
+    fn send_exclusion(&mut self, number: usize, worker: u32) {
+        let is_excluded = self.host.is_excluded(worker);
+        let excluded = &mut self.proxies[number].excluded;
+        match is_excluded {
+            true => excluded.insert(worker),
+            false => excluded.remove(&worker),
+        };
+    }
+
     /// The rule that is broken at a proxy, if any.
     fn violation(&mut self, number: u16) -> Option<String> {
         let now = self.host.now;
