--- a/review/world-2/src/cases.rs
+++ b/review/world-2/src/cases.rs
@@ -16,6 +16,7 @@
         "two-operators" => two_operators(record.clone(), trouble),
         "held" => held(record.clone(), trouble),
         "council" => council(record.clone()),
+        "relays" => relays(record.clone()),
         "hunt" => hunt(record.clone()),
         "small-weights" => small_weights(record.clone(), trouble),
         _ => Err(format!("there is no case {case}")),
@@ -544,3 +545,121 @@
     }
     Ok(violations)
 }
+
+/// A manager behind two relays that are killed, stopped and restarted at random, while the list changes. At the end the
+/// proxies' tables have to be those of the list. The seed is in SEED.
+fn relays(record: Record) -> Result<Vec<String>, String> {
+    use crate::manager::{free_address, Relay};
+    let seed: u64 = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    let mut deployment = Deployment::small();
+    deployment.classes[2].2 = false;
+    (deployment.messages_most, deployment.rate) = (0, 20.0);
+    let zones = deployment.zones.clone();
+    let scope = &zones[..2];
+    let mut workers: Vec<Listed> =
+        (0..40).map(|index| listed(&format!("s-{index}"), zones[index % 3], Phase::Ready, 1.0)).collect();
+    let mut world = World::new(record.clone(), deployment, &workers)?;
+    world.deployment.messages_most = usize::MAX;
+    world.seed(seed);
+    let options = if seed.is_multiple_of(2) { "--chunk-kib 4" } else { "" };
+    let addresses = [free_address()?, free_address()?];
+    let source = world.discovery.address;
+    let folder = world.folder.0.clone();
+    let start = |index: usize| Relay::start(addresses[index], source, &folder, options);
+    let mut relays = [Some(start(0)?), Some(start(1)?)];
+    let file = folder.join("operator.xml");
+    let text = format!(
+        r#"<config xmlns="urn:ietf:params:xml:ns:netconf:base:1.0"><discovery xmlns="tag:juniperrail.example,2026:yang:manager"><relay>{}</relay><relay>{}</relay><scope><zone>{}</zone><zone>{}</zone></scope></discovery></config>"#,
+        addresses[0], addresses[1], scope[0], scope[1]
+    );
+    std::fs::write(&file, text).map_err(|error| error.to_string())?;
+    world.set_operator_file(0, file);
+    let known = world.discovery.whole();
+    world.start_manager(0, &known)?;
+    world.run_for(3000.0)?;
+    let mut stopped: [Option<f64>; 2] = [None, None];
+    let end = world.record.now() + 60_000.0;
+    while world.record.now() < end {
+        let pause = world.random() * 150.0;
+        world.run_for(pause)?;
+        let now = world.record.now();
+        let many = if world.random() < 0.1 { 20 } else { 1 + (world.random() * 3.0) as usize };
+        let mut changes: Vec<Listed> = Vec::new();
+        for _ in 0..many {
+            let index = (world.random() * workers.len() as f64) as usize;
+            let draw = world.random();
+            let one = &mut workers[index];
+            if changes.iter().any(|other| other.name == one.name) {
+                continue;
+            }
+            if one.phase == Phase::Gone {
+                one.started_at_ms = crate::world::unix_ms() - 60_000.0;
+                one.phase = Phase::Ready;
+            } else if draw < 0.3 {
+                one.phase = if one.phase == Phase::Ready { Phase::Draining } else { Phase::Ready };
+            } else if draw < 0.5 {
+                one.phase = Phase::Gone;
+            } else {
+                one.zone = zones[(world.random() * 3.0) as usize].to_string();
+            }
+            changes.push(one.clone());
+        }
+        world.publish(&changes);
+        let index = (world.random() * 2.0) as usize;
+        let draw = world.random();
+        if stopped[index].is_some_and(|until| until <= now) {
+            stopped[index] = None;
+            match &relays[index] {
+                Some(relay) => relay.signal("CONT"),
+                None => relays[index] = Some(start(index)?),
+            }
+        } else if stopped[index].is_none() && draw < 0.03 {
+            world.record.line(format!("relay {index} is killed"));
+            relays[index] = None;
+            stopped[index] = Some(now + world.random() * 3000.0);
+        } else if stopped[index].is_none() && draw < 0.05 {
+            world.record.line(format!("relay {index} is stopped"));
+            if let Some(relay) = &relays[index] {
+                relay.signal("STOP");
+            }
+            stopped[index] = Some(now + world.random() * 8000.0);
+        } else if draw > 0.97 {
+            world.record.line("discovery resets all watches");
+            world.discovery.drop_watches();
+        }
+    }
+    for (index, relay) in relays.iter_mut().enumerate() {
+        match relay {
+            Some(relay) => relay.signal("CONT"),
+            None => *relay = Some(start(index)?),
+        }
+    }
+    world.run_for(20_000.0)?;
+    let expected: std::collections::BTreeSet<String> = workers
+        .iter()
+        .filter(|one| one.phase == Phase::Ready && scope.contains(&one.zone.as_str()))
+        .map(|one| one.name.clone())
+        .collect();
+    for index in 0..world.proxies.len() {
+        let held: std::collections::BTreeSet<String> = world.proxies[index]
+            .pickable("quick-check")
+            .iter()
+            .map(|(worker, _)| worker.to_string())
+            .collect();
+        if held != expected {
+            let more: Vec<&String> = held.difference(&expected).collect();
+            let less: Vec<&String> = expected.difference(&held).collect();
+            world
+                .violations
+                .push(format!("proxy {index} may pick {more:?}, which it should not, and lacks {less:?}"));
+        }
+    }
+    world.take_log(0);
+    for address in addresses {
+        let log =
+            std::fs::read_to_string(folder.join(format!("relay-{}.log", address.port()))).unwrap_or_default();
+        log.lines().for_each(|line| record.line(format!("log of relay {address}: {line}")));
+    }
+    let changed = world.violations.into_iter().filter(|violation| violation.starts_with("proxy")).collect();
+    Ok(changed)
+}
--- a/review/world-2/src/discovery.rs
+++ b/review/world-2/src/discovery.rs
@@ -134,6 +134,12 @@
         self.record.line(format!("discovery to {} watches: {line}", state.watches.len()));
     }
 
+    /// Resets all watches.
+    pub fn drop_watches(&self) {
+        let mut state = self.state.lock().expect("no watch panics");
+        state.watches.drain(..).for_each(|watch| _ = watch.shutdown(std::net::Shutdown::Both));
+    }
+
     /// The whole list now, in the form of a manager's `known`.
     pub fn whole(&self) -> String {
         self.state.lock().expect("no watch panics").whole()
--- a/review/world-2/src/manager.rs
+++ b/review/world-2/src/manager.rs
@@ -163,6 +163,41 @@
         && &answer == b"alive\r\n"
 }
 
+/// A relay of the list; killed when dropped.
+pub struct Relay(Child);
+
+impl Relay {
+    pub fn start(
+        listen: SocketAddr,
+        source: SocketAddr,
+        folder: &Path,
+        options: &str,
+    ) -> Result<Relay, String> {
+        let log = folder.join(format!("relay-{}.log", listen.port()));
+        let output =
+            File::options().create(true).append(true).open(log).map_err(|error| error.to_string())?;
+        let mut command = Command::new("/bin/sh");
+        command
+            .arg("-c")
+            .arg(format!("{} relay --listen {listen} --source {source} {options}", run_command()?));
+        command.env("RUST_LOG", "info").env_remove("JUNIPERRAIL_FILE");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(output);
+        Ok(Relay(note_started(command.spawn().map_err(|error| error.to_string())?)))
+    }
+
+    pub fn signal(&self, signal: &str) {
+        kill(signal, self.0.id());
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        _ = self.0.kill();
+        _ = self.0.wait();
+        note_ended(self.0.id());
+    }
+}
+
 /// The operators' access to one manager: the operator's file, with a listener for NETCONF, and the keys.
 pub struct Northbound {
     pub operator_file: PathBuf,
--- a/review/world-2/src/world.rs
+++ b/review/world-2/src/world.rs
@@ -272,6 +272,11 @@
         (proxy.joined_since, proxy.bare_since) = (None, BTreeMap::new());
     }
 
+    /// Gives a manager an operator's file.
+    pub fn set_operator_file(&mut self, site: usize, file: std::path::PathBuf) {
+        self.sites[site].launch.operator_file = Some(file);
+    }
+
     fn new_proxy(&mut self, number: usize) -> Proxy {
         let zone = self.deployment.zones[number % self.deployment.zones.len()].to_string();
         let mut proxy = Proxy {
