--- a/review/world-2/src/cases.rs
+++ b/review/world-2/src/cases.rs
@@ -17,6 +17,10 @@
         "held" => held(record.clone(), trouble),
         "council" => council(record.clone()),
         "relays" => relays(record.clone()),
+        "spoilt-answer" => spoilt_answer(record.clone(), trouble),
+        "wanted-ready" => wanted_ready(record.clone(), trouble),
+        "flapping" => flapping(record.clone(), trouble),
+        "canary" => canary(record.clone(), trouble),
         "hunt" => hunt(record.clone()),
         "small-weights" => small_weights(record.clone(), trouble),
         _ => Err(format!("there is no case {case}")),
@@ -135,6 +139,8 @@
         (deployment.channel_rate, deployment.pending_max, deployment.messages_most) = (800.0, 1600.0, 30);
     }
     let zones = deployment.zones.clone();
+    let managers: usize = std::env::var("MANAGERS").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    deployment.managers = managers;
     let mut workers: Vec<Listed> = Vec::new();
     for index in 0..15 {
         workers.push(listed(&format!("s-{index}"), zones[index % 3], Phase::Ready, 1.0));
@@ -144,7 +150,9 @@
     let operator = std::env::var("OPERATOR").is_ok();
     let northbound = if operator { Some(world.northbound(0)?) } else { None };
     let known = world.discovery.whole();
-    world.start_manager(0, &known)?;
+    for site in 0..managers {
+        world.start_manager(site, &known)?;
+    }
     world.run_for(5000.0)?;
     let kinds = [
         "deploy",
@@ -173,6 +181,12 @@
     if operator {
         chosen[0] = "operator";
     }
+    if managers > 1 {
+        chosen[1] = "rehome";
+        if !chosen.contains(&"managers") && !chosen.contains(&"kill") {
+            chosen[0] = if seed.is_multiple_of(3) { "kill" } else { "managers" };
+        }
+    }
     world.record.line(format!("troubles: {chosen:?}"));
     let has = |kind: &str| chosen.contains(&kind);
     if has("slow") {
@@ -230,6 +244,15 @@
                     }
                     1300.0 + draw * 1000.0
                 }
+                "rehome" => {
+                    for index in 0..world.proxies.len() {
+                        if world.random() < 0.3 {
+                            world.end_stream(index, false, "goes to another manager");
+                            world.proxies[index].manager = (world.random() * managers as f64) as usize;
+                        }
+                    }
+                    3000.0 + draw * 8000.0
+                }
                 "reconnect" => {
                     for index in 0..world.proxies.len() {
                         if world.random() < 0.2 + 0.6 * draw {
@@ -247,11 +270,13 @@
                     1500.0 + draw * 2000.0
                 }
                 "managers" => {
-                    world.restart_manager(0)?;
+                    let site = (world.random() * managers as f64) as usize;
+                    world.restart_manager(site)?;
                     9000.0 + draw * 10_000.0
                 }
                 "kill" => {
-                    world.kill_manager(0)?;
+                    let site = (world.random() * managers as f64) as usize;
+                    world.kill_manager(site)?;
                     9000.0 + draw * 10_000.0
                 }
                 "stall" => {
@@ -663,3 +688,110 @@
     let changed = world.violations.into_iter().filter(|violation| violation.starts_with("proxy")).collect();
     Ok(changed)
 }
+
+/// The worker of a zone comes back after an operator's drain, and one proxy's answer to the message with its line is
+/// spoilt.
+fn spoilt_answer(record: Record, trouble: bool) -> Result<Vec<String>, String> {
+    let mut deployment = Deployment::small();
+    deployment.classes.iter_mut().for_each(|class| class.2 = true);
+    let mut world = World::new(record, deployment, &six_workers(1.0))?;
+    let northbound = world.northbound(0)?;
+    let known = world.discovery.whole();
+    world.start_manager(0, &known)?;
+    world.run_for(8000.0)?;
+    world.record.line("the operator drains s-g2, over NETCONF");
+    let edit =
+        northbound.edit_workers("edit.xml", "<worker><name>s-g2</name><wanted>draining</wanted></worker>")?;
+    if !world.finish(edit, 10_000.0)?.0 {
+        return Err("the drain was refused".into());
+    }
+    world.operator_drained.insert("s-g2".into());
+    world.run_for(6000.0)?;
+    world.publish(&[listed("s-g1", "gulberg", Phase::Draining, 1.0)]);
+    world.run_for(5000.0)?;
+    world.publish(&[listed("s-g1", "gulberg", Phase::Gone, 1.0)]);
+    world.run_for(6000.0)?;
+    world.record.line("the operator ends the drain of s-g2, over NETCONF");
+    let edit =
+        northbound.edit_workers("edit.xml", "<worker><name>s-g2</name><wanted>follow</wanted></worker>")?;
+    if !world.finish(edit, 10_000.0)?.0 {
+        return Err("the end of the drain was refused".into());
+    }
+    world.operator_drained.clear();
+    if trouble {
+        world.spoil_next.insert(0);
+    }
+    world.run_for(25_000.0)?;
+    world.take_log(0);
+    Ok(world.violations)
+}
+
+/// The operator's file wants a worker ready; later discovery lists it as draining, which counts as the later word. Then the
+/// manager is restarted as planned.
+fn wanted_ready(record: Record, trouble: bool) -> Result<Vec<String>, String> {
+    let mut world = World::new(record, Deployment::small(), &six_workers(1.0))?;
+    let northbound = world.northbound_with(0, "<worker><name>s-j1</name><wanted>ready</wanted></worker>")?;
+    let known = world.discovery.whole();
+    world.start_manager(0, &known)?;
+    world.run_for(6000.0)?;
+    world.publish(&[listed("s-j1", "johar-town", Phase::Draining, 1.0)]);
+    world.run_for(6000.0)?;
+    if trouble {
+        world.restart_manager(0)?;
+    }
+    world.run_for(3000.0)?;
+    let state = northbound.command("state /state/workers")?;
+    world.finish(state, 10_000.0)?;
+    world.run_for(9000.0)?;
+    world.take_log(0);
+    Ok(world.violations)
+}
+
+/// The stream of one proxy breaks again and again for some seconds and then stays; then a worker drains.
+fn flapping(record: Record, trouble: bool) -> Result<Vec<String>, String> {
+    let breaks: u32 = std::env::var("BREAKS").ok().and_then(|text| text.parse().ok()).unwrap_or(11);
+    let mut world = World::new(record, Deployment::small(), &six_workers(1.0))?;
+    let known = world.discovery.whole();
+    world.start_manager(0, &known)?;
+    world.run_for(12_000.0)?;
+    if trouble {
+        for _ in 0..breaks {
+            world.end_stream(4, false, "reset on the way");
+            world.proxies[4].redial_at = world.record.now() + 130.0;
+            world.run_for(300.0)?;
+        }
+    }
+    world.run_for(1000.0)?;
+    world.publish(&[listed("s-j1", "johar-town", Phase::Draining, 1.0)]);
+    world.run_for(12_000.0)?;
+    world.take_log(0);
+    Ok(world.violations)
+}
+
+/// An operator gives one of a zone's two workers next to nothing; then the other drains.
+fn canary(record: Record, trouble: bool) -> Result<Vec<String>, String> {
+    let mut world = World::new(record, Deployment::small(), &six_workers(1.0))?;
+    let northbound = world.northbound(0)?;
+    let known = world.discovery.whole();
+    world.start_manager(0, &known)?;
+    world.run_for(6000.0)?;
+    world.record.line("the operator gives s-g2 the weight 0.0004, over NETCONF");
+    let edit =
+        northbound.edit_workers("edit.xml", "<worker><name>s-g2</name><weight>0.0004</weight></worker>")?;
+    if !world.finish(edit, 10_000.0)?.0 {
+        return Err("the weight was refused".into());
+    }
+    world.run_for(6000.0)?;
+    if trouble {
+        world.publish(&[listed("s-g1", "gulberg", Phase::Draining, 1.0)]);
+    }
+    world.run_for(5000.0)?;
+    if trouble {
+        world.publish(&[listed("s-g1", "gulberg", Phase::Gone, 1.0)]);
+    }
+    world.run_for(10_000.0)?;
+    let state = northbound.command("state /state/workers")?;
+    world.finish(state, 10_000.0)?;
+    world.take_log(0);
+    Ok(world.violations)
+}
--- a/review/world-2/src/manager.rs
+++ b/review/world-2/src/manager.rs
@@ -208,13 +208,15 @@
 }
 
 impl Northbound {
-    pub fn create(folder: &Path) -> Result<Northbound, String> {
+    /// `workers`: the children of `<workers>` in the file.
+    pub fn create(folder: &Path, workers: &str) -> Result<Northbound, String> {
         let host = juniperrail_standins::SshKeyPair::write(folder, "host", 1);
         let ann = juniperrail_standins::SshKeyPair::write(folder, "ann", 2);
         let address = free_address()?;
         let operator_file = folder.join("operator.xml");
         let text = format!(
             r#"<config xmlns="urn:ietf:params:xml:ns:netconf:base:1.0">
+  <workers xmlns="tag:juniperrail.example,2026:yang:manager">{workers}</workers>
   <northbound xmlns="tag:juniperrail.example,2026:yang:manager">
     <netconf><ssh><listen>{address}</listen><host-key>{}</host-key></ssh></netconf>
     <user><name>ann</name><role>admin</role><ssh-key>{}</ssh-key></user>
--- a/review/world-2/src/world.rs
+++ b/review/world-2/src/world.rs
@@ -135,6 +135,8 @@
     pub limit_factor: f64,
     /// Share of the answers to marks that lack a field.
     pub spoilt_acks: f64,
+    /// Proxies whose next answer to a mark lacks its number.
+    pub spoil_next: BTreeSet<usize>,
     /// Proxies whose streams carry nothing, until then.
     pub cut_until: BTreeMap<usize, f64>,
     pub stalled_until: BTreeMap<usize, f64>,
@@ -197,6 +199,7 @@
             slow: 1.0,
             limit_factor: 1.0,
             spoilt_acks: 0.0,
+            spoil_next: BTreeSet::new(),
             cut_until: BTreeMap::new(),
             stalled_until: BTreeMap::new(),
             transit_of: BTreeMap::new(),
@@ -250,7 +253,12 @@
 
     /// Gives a manager an operator's file with a listener for NETCONF.
     pub fn northbound(&mut self, site: usize) -> Result<Northbound, String> {
-        let northbound = Northbound::create(&self.folder.0)?;
+        self.northbound_with(site, "")
+    }
+
+    /// The same, with these children of `<workers>` in the file.
+    pub fn northbound_with(&mut self, site: usize, workers: &str) -> Result<Northbound, String> {
+        let northbound = Northbound::create(&self.folder.0, workers)?;
         self.sites[site].launch.operator_file = Some(northbound.operator_file.clone());
         Ok(northbound)
     }
@@ -461,6 +469,14 @@
     }
 
     fn dial(&mut self, index: usize, now: f64) {
+        let is_down = |site: &Site| site.manager.is_none() || !site.answered_at.is_finite();
+        if self.proxies[index].stream.is_none() && is_down(&self.sites[self.proxies[index].manager]) {
+            // Another one, if need be.
+            if let Some(other) = self.sites.iter().position(|site| !is_down(site)) {
+                self.proxies[index].manager = other;
+                (self.proxies[index].joined_since, self.proxies[index].bare_since) = (None, BTreeMap::new());
+            }
+        }
         let proxy = &self.proxies[index];
         let site = &self.sites[proxy.manager];
         if proxy.stream.is_some()
@@ -596,7 +612,11 @@
             let Some((_, received_at, parts)) = stream.pending.pop_front() else { return };
             proxy.apply(&parts, &self.classes);
             for ticket in parts.iter().filter_map(|part| part.ticket) {
-                let spoilt = next_random(&mut self.random) < self.spoilt_acks;
+                let spoilt =
+                    next_random(&mut self.random) < self.spoilt_acks || self.spoil_next.remove(&index);
+                if spoilt {
+                    self.record.line(format!("the answer of proxy {index} to ticket {ticket} is spoilt"));
+                }
                 let ack = match spoilt {
                     true => format!("ack node={index} latency={:.1}\r\n", now - received_at),
                     false => format!("ack node={index} nonce={ticket} latency={:.1}\r\n", now - received_at),
