Review case 7: after a planned restart an operator's older wish overrides a drain

Cause: at the start the cached list is applied before the operator's file, so that the file's `ready` counts as later than discovery's draining.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/world-2/target/release/review-world-2 ] || { echo "review/build-2.sh has not been run"; exit 2; }
-exec review/world-2/target/release/review-world-2 withheld review/7
+exec review/world-2/target/release/review-world-2 wanted-ready review/7
