--- a/review/world-2/src/cases.rs
+++ b/review/world-2/src/cases.rs
@@ -14,6 +14,7 @@
         "placed" => placed(record.clone(), trouble),
         "two-operators" => two_operators(record.clone(), trouble),
         "held" => held(record.clone(), trouble),
+        "lost-store" => lost_store(record.clone(), trouble),
         "council" => council(record.clone()),
         "relays" => relays(record.clone()),
         "spoilt-answer" => spoilt_answer(record.clone(), trouble),
@@ -764,3 +765,31 @@
     world.take_log(0);
     Ok(world.violations)
 }
+
+/// A member that was restarted twice loses its store; later another member is killed. Two of three are up then.
+fn lost_store(record: Record, trouble: bool) -> Result<Vec<String>, String> {
+    let pause = |seconds: u64| std::thread::sleep(std::time::Duration::from_secs(seconds));
+    let schedule = "<schedule><name>warm</name><cron>* * * * * *</cron><worker>WORKER</worker><path>/run</path><effect>side-effecting</effect></schedule>";
+    let mut council = crate::council::Council::new(record.clone(), schedule, "")?;
+    for index in 0..3 {
+        council.start(index)?;
+    }
+    pause(8);
+    for _ in 0..2 {
+        council.stop(2);
+        council.start(2)?;
+        pause(3);
+    }
+    council.kill(2, trouble)?;
+    council.start(2)?;
+    pause(20);
+    council.kill(0, false)?;
+    pause(15);
+    let since = record.now();
+    pause(15);
+    council.take_logs();
+    let executed = council.executor.runs().iter().filter(|run| run.at > since && run.status == 200).count();
+    record.line(format!("{executed} occurrences were executed in the last 15 s"));
+    let stands_still = String::from("two of three managers are up, and no occurrence is executed from 15 s to 30 s after the third was killed");
+    Ok(if executed == 0 { vec![stands_still] } else { Vec::new() })
+}
--- a/review/world-2/src/council.rs
+++ b/review/world-2/src/council.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// Kills a manager, and with it its store where that is said to be lost.
+    pub fn kill(&mut self, index: usize, loses_store: bool) -> Result<(), String> {
+        self.signal(index, "KILL");
+        self.managers[index] = None;
+        if loses_store {
+            self.record.line(format!("the store of manager {} is lost", index + 1));
+            let store = self.folder.0.join(format!("store-{index}"));
+            fs::remove_dir_all(&store)
+                .and_then(|()| fs::create_dir_all(&store))
+                .map_err(|error| error.to_string())?;
+        }
+        Ok(())
+    }
+
     /// Ends a manager: SIGTERM, then SIGKILL 0.8 s later where it has not ended.
     pub fn stop(&mut self, index: usize) {
         self.signal(index, "TERM");
