Candidate: a commit never succeeds without the edits that another session undid

Cause: all sessions share one candidate, and discard-changes empties it whole. The command line discarded it after each refusal without holding its lock, and the manager answered `ok` to a commit whose edits were gone, for any client over SSH or TLS.

Change: `config edit` and `config rollback` edit and commit under the candidate's lock, wait up to 5 s for that of another session, and are refused beside others' uncommitted changes; `config commit` discards nothing. The datastores record the sessions with edits in the candidate and refuse a commit (`edits-undone`) if another session undid edits of its session, or of an ended session of its user: by discard-changes, copy-config, rollback, an edit with `replace`, or the rollback of a confirmed commit that included them. Why it works: what a command discards under the lock is its own, and what another client discards is known when the commit comes.

--- a/crates/intent/src/datastores.rs
+++ b/crates/intent/src/datastores.rs
@@ -3,6 +3,8 @@
 //! the caller runs the admission checks on it, and [`Datastores::apply`] makes it running. A proposal that is refused
 //! is dropped and changes nothing.
 
+mod candidate;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
@@ -15,6 +17,8 @@
 use crate::edit::{edit_config, DefaultOperation, ErrorOption};
 use crate::intent::Intent;
 
+use candidate::{Candidate, Editors};
+
 /// The maximum number of versions of running that are kept, so that they can be restored.
 const MAX_VERSIONS: usize = 32;
 /// The confirm-timeout of a confirmed commit that gives none (RFC 6241 section 8.4.1).
@@ -49,6 +53,8 @@
     InUse(Session),
     /// The candidate cannot be locked, as it has uncommitted changes.
     CandidateChanged,
+    /// The given session undid edits of the caller, or of an ended session of the same user, that were to be committed.
+    EditsUndone(Session),
     /// The session tried to release a lock that it does not hold.
     NotLocked,
     /// A confirmed commit of the given session, another than the caller's, awaits its confirmation.
@@ -86,6 +92,12 @@
             DatastoreError::CandidateChanged => {
                 f.write_str("the candidate has uncommitted changes; commit or discard them first")
             }
+            DatastoreError::EditsUndone(by) => write!(
+                f,
+                "session {} undid edits of yours before this commit; edit again, or discard the changes to go on \
+                 without those edits",
+                by.0
+            ),
             DatastoreError::NotLocked => f.write_str("this session does not hold the lock"),
             DatastoreError::ConfirmedCommitPending(owner) => {
                 write!(f, "a confirmed commit of session {} awaits its confirmation", owner.0)
@@ -167,6 +179,8 @@
     deadline: Ms,
     /// Why the last attempt to roll back was refused, if there was one.
     overdue_reason: Option<String>,
+    /// The sessions whose edits were committed and that a rollback reverts.
+    editors: Editors,
 }
 
 /// The datastores of one manager, with their locks, versions and pending confirmed commit.
@@ -174,8 +188,7 @@
 pub struct Datastores {
     schema: Arc<Schema>,
     running: Data,
-    /// `None` while it is unedited and therefore follows running.
-    candidate: Option<Data>,
+    candidate: Candidate,
     startup: Data,
     locks: BTreeMap<Datastore, Session>,
     pending: Option<PendingCommit>,
@@ -190,7 +203,7 @@
         Ok(Datastores {
             schema,
             running: startup.clone(),
-            candidate: None,
+            candidate: Candidate::default(),
             startup,
             locks: BTreeMap::new(),
             pending: None,
@@ -201,7 +214,7 @@
     pub fn get(&self, datastore: Datastore) -> &Data {
         match datastore {
             Datastore::Running => &self.running,
-            Datastore::Candidate => self.candidate.as_ref().unwrap_or(&self.running),
+            Datastore::Candidate => self.candidate.data().unwrap_or(&self.running),
             Datastore::Startup => &self.startup,
         }
     }
@@ -233,14 +246,23 @@
         }
     }
 
+    /// Records the user of a session, who learns in a later session of edits that were discarded after this one ended.
+    pub fn open_session(&mut self, session: Session, user: &str) {
+        self.candidate.open_session(session, user);
+    }
+
+    /// Whether the candidate differs from running.
+    fn is_candidate_changed(&self) -> bool {
+        self.candidate.data().is_some_and(|data| *data != self.running)
+    }
+
     /// Locks a datastore (section 7.5). A candidate with changes cannot be locked, nor can running while a confirmed
     /// commit of another session is pending.
     pub fn lock(&mut self, datastore: Datastore, session: Session) -> Result<(), DatastoreError> {
         if let Some(holder) = self.lock_holder(datastore) {
             return Err(DatastoreError::LockDenied(holder));
         }
-        let changed = self.candidate.as_ref().is_some_and(|candidate| *candidate != self.running);
-        if datastore == Datastore::Candidate && changed {
+        if datastore == Datastore::Candidate && self.is_candidate_changed() {
             return Err(DatastoreError::CandidateChanged);
         }
         if let Some(pending) = self
@@ -261,7 +283,7 @@
         }
         self.locks.remove(&datastore);
         if datastore == Datastore::Candidate {
-            self.candidate = None;
+            self.discard_candidate(session);
         }
         Ok(())
     }
@@ -288,11 +310,31 @@
         }
     }
 
-    /// Replaces the content of candidate or startup; startup must be valid.
+    /// Stores the candidate as [`Datastores::edit_candidate`] returned it. With the default operation `replace` the edit
+    /// discards the edits of other sessions.
+    pub fn put_edited(
+        &mut self,
+        session: Session,
+        data: Data,
+        default_operation: DefaultOperation,
+    ) -> Result<(), DatastoreError> {
+        if default_operation == DefaultOperation::Replace {
+            return self.put(session, Datastore::Candidate, data);
+        }
+        self.check_not_locked(Datastore::Candidate, session)?;
+        self.candidate.edit(session, data);
+        Ok(())
+    }
+
+    /// Replaces the content of candidate or startup, and thereby discards other sessions' edits of the candidate. Startup
+    /// must be valid.
     pub fn put(&mut self, session: Session, datastore: Datastore, data: Data) -> Result<(), DatastoreError> {
         self.check_not_locked(datastore, session)?;
         match datastore {
-            Datastore::Candidate => self.candidate = Some(data),
+            Datastore::Candidate => {
+                self.forget_editors_if_unchanged();
+                self.candidate.replace(session, data);
+            }
             Datastore::Startup => {
                 validate_data(&self.schema, &data)?;
                 self.startup = data;
@@ -307,10 +349,22 @@
     /// Discards the changes of the candidate (section 8.3.4.2).
     pub fn discard(&mut self, session: Session) -> Result<(), DatastoreError> {
         self.check_not_locked(Datastore::Candidate, session)?;
-        self.candidate = None;
+        self.discard_candidate(session);
         Ok(())
     }
 
+    fn discard_candidate(&mut self, session: Session) {
+        self.forget_editors_if_unchanged();
+        self.candidate.discard(session);
+    }
+
+    /// Edits that are running already, or that changed nothing, cannot be discarded.
+    fn forget_editors_if_unchanged(&mut self) {
+        if !self.is_candidate_changed() {
+            self.candidate.commit();
+        }
+    }
+
     /// Validates data as a commit would, without the admission checks.
     pub fn validate(&self, data: &Data) -> Result<(), DatastoreError> {
         validate_data(&self.schema, data)
@@ -322,9 +376,10 @@
         found.map(|version| &version.data).ok_or(DatastoreError::UnknownVersion(number))
     }
 
-    /// Proposes the candidate as the running configuration. Performs all checks except the admission checks.
+    /// Proposes the candidate as the running configuration. Performs all checks except the admission checks. Fails also
+    /// if another session has discarded edits that the caller would have committed.
     pub fn propose_commit(
-        &self,
+        &mut self,
         session: Session,
         author: &str,
         commit: Commit,
@@ -336,6 +391,9 @@
             (Some(pending), persist_id) => pending.check_may_resolve(session, persist_id.as_deref())?,
             (None, None) => {}
         }
+        if let Some(by) = self.candidate.report_undone(session) {
+            return Err(DatastoreError::EditsUndone(by));
+        }
         let data = self.get(Datastore::Candidate).clone();
         validate_data(&self.schema, &data)?;
         Ok(self.proposal(ProposalKind::Commit(commit), session, author, data))
@@ -362,11 +420,20 @@
         let Proposal { kind, session, author, number, data, .. } = proposal;
         let previous = std::mem::replace(&mut self.running, data.clone());
         let pending = self.pending.take();
+        let mut editors = match kind {
+            ProposalKind::Commit(_) => self.candidate.commit(),
+            ProposalKind::Rollback => Editors::default(),
+        };
         if let ProposalKind::Commit(Commit { confirmed: true, confirm_timeout, persist, .. }) = &kind {
             let timeout = confirm_timeout.unwrap_or(DEFAULT_CONFIRM_TIMEOUT).clamp(1.0, MAX_CONFIRM_TIMEOUT);
             // A confirmed commit that extends another is rolled back together with it.
+            // The session of a confirmed commit knows that it may be rolled back; the others that edited may not.
+            editors.remove(session);
             let (rollback_data, earlier_persist) = match pending {
-                Some(pending) => (pending.rollback_data, pending.persist),
+                Some(pending) => {
+                    editors.extend(pending.editors);
+                    (pending.rollback_data, pending.persist)
+                }
                 None => (previous, None),
             };
             let persist = persist.clone().or(earlier_persist);
@@ -378,10 +445,10 @@
                 persist,
                 deadline,
                 overdue_reason: None,
+                editors,
             });
-        }
-        if let ProposalKind::Commit(_) = kind {
-            self.candidate = None;
+        } else if let (ProposalKind::Rollback, Some(pending)) = (&kind, pending) {
+            self.candidate.record_undone(session, pending.editors);
         }
         if self.versions.len() == MAX_VERSIONS {
             self.versions.pop_front();
@@ -419,8 +486,9 @@
     /// rollback of its confirmed commit falls due at once unless the commit has a persist id (section 8.4.1).
     pub fn end_session(&mut self, now: Ms, session: Session) {
         if self.lock_holder(Datastore::Candidate) == Some(session) {
-            self.candidate = None;
+            self.discard_candidate(session);
         }
+        self.candidate.end_session(session, self.pending.as_mut().map(|pending| &mut pending.editors));
         self.locks.retain(|_, holder| *holder != session);
         if let Some(pending) =
             self.pending.as_mut().filter(|pending| pending.session == session && pending.persist.is_none())
--- a/crates/intent/src/datastores/tests.rs
+++ b/crates/intent/src/datastores/tests.rs
@@ -25,7 +25,7 @@
             DefaultOperation::Merge,
             ErrorOption::RollbackOnError,
         )?;
-        self.put(session, Datastore::Candidate, data)
+        self.put_edited(session, data, DefaultOperation::Merge)
     }
 
     /// Commits the candidate and applies the proposal without admission checks.
@@ -271,3 +271,70 @@
         stores.discard(ANN).unwrap();
     }
 }
+
+/// Guards against a commit that succeeds although another session has discarded what it was to commit.
+#[test]
+fn a_commit_is_refused_while_another_session_has_undone_its_edits() {
+    let undone_by_bob = Err(DatastoreError::EditsUndone(BOB));
+    let undo_by_discard = |stores: &mut Datastores| stores.discard(BOB).unwrap();
+    let undo_by_version = |stores: &mut Datastores| {
+        let first = stores.version_data(1).unwrap().clone();
+        stores.put(BOB, Datastore::Candidate, first).unwrap();
+    };
+    let undo_by_rollback = |stores: &mut Datastores| {
+        stores.commit(0.0, BOB, confirmed(None)).unwrap();
+        let rollback = stores.due_rollback(1000.0).unwrap();
+        stores.apply(1000.0, rollback);
+    };
+    let ways_to_undo: [&dyn Fn(&mut Datastores); 3] = [&undo_by_discard, &undo_by_version, &undo_by_rollback];
+    for undo in ways_to_undo {
+        let mut stores = stores();
+        stores.set_candidate_weight(ANN, 2).unwrap();
+        undo(&mut stores);
+        for _ in 0..2 {
+            let refused = stores.propose_commit(ANN, "ann", Commit::default()).map(drop);
+            assert_eq!(refused, undone_by_bob, "also when it is tried again");
+        }
+        stores.set_candidate_weight(ANN, 3).unwrap();
+        stores.commit(2000.0, ANN, Commit::default()).unwrap();
+        assert_eq!(stores.weight(Datastore::Running), Some(3.0));
+        stores.set_candidate_weight(ANN, 4).unwrap();
+        stores.set_candidate_weight(BOB, 5).unwrap();
+        undo(&mut stores);
+        stores.discard(ANN).unwrap();
+        stores.commit(3000.0, ANN, Commit::default()).unwrap();
+    }
+}
+
+/// Guards against the same loss where edits are prepared in one session and committed in a later one.
+#[test]
+fn undone_edits_of_an_ended_session_refuse_the_commit_of_a_later_session_of_its_user() {
+    const ANN_AGAIN: Session = Session(3);
+    for ends_first in [false, true] {
+        let mut stores = stores();
+        stores.open_session(ANN, "ann");
+        stores.open_session(BOB, "bob");
+        stores.set_candidate_weight(ANN, 2).unwrap();
+        if ends_first {
+            stores.end_session(0.0, ANN);
+        }
+        stores.discard(BOB).unwrap();
+        stores.end_session(0.0, ANN);
+        stores.open_session(ANN_AGAIN, "ann");
+        assert_eq!(stores.commit(1.0, ANN_AGAIN, Commit::default()), Err(DatastoreError::EditsUndone(BOB)));
+        stores.commit(1.0, BOB, Commit::default()).unwrap();
+        stores.discard(ANN_AGAIN).unwrap();
+        stores.commit(2.0, ANN_AGAIN, Commit::default()).unwrap();
+    }
+}
+
+#[test]
+fn edits_that_are_running_or_changed_nothing_cannot_be_undone() {
+    let mut stores = stores();
+    stores.set_candidate_weight(ANN, 2).unwrap();
+    stores.commit(0.0, BOB, Commit::default()).unwrap();
+    stores.set_candidate_weight(ANN, 2).unwrap();
+    stores.discard(BOB).unwrap();
+    stores.commit(0.0, ANN, Commit::default()).unwrap();
+    assert_eq!(stores.weight(Datastore::Running), Some(2.0));
+}
--- a/crates/intent/tests/properties.rs
+++ b/crates/intent/tests/properties.rs
@@ -1,7 +1,7 @@
 //! Property tests with random sequences: the datastores compared with a simple reference model, invariants of the
 //! composition, and rejected edits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use juniperrail_intent::*;
@@ -85,6 +85,8 @@
     owner: u32,
     persist: Option<u8>,
     deadline: f64,
+    /// The sessions whose edits the commit includes, without those that committed.
+    editors: BTreeSet<u32>,
 }
 
 /// The reference model of the datastores.
@@ -92,6 +94,10 @@
 struct ReferenceModel {
     running: Workers,
     candidate: Option<Workers>,
+    /// The sessions with edits in the candidate.
+    editors: BTreeSet<u32>,
+    /// The sessions with edits that another session undid, and whether a commit was refused for it.
+    undone: BTreeMap<u32, bool>,
     locks: BTreeMap<Datastore, u32>,
     pending: Option<PendingCommit>,
     versions: Vec<Workers>,
@@ -115,6 +121,41 @@
         }
     }
 
+    fn is_candidate_changed(&self) -> bool {
+        self.candidate.as_ref().is_some_and(|workers| *workers != self.running)
+    }
+
+    /// Another session's edits are undone by `session`.
+    fn undo(&mut self, session: u32, editors: BTreeSet<u32>) {
+        self.undone
+            .extend(editors.into_iter().filter(|editor| *editor != session).map(|editor| (editor, false)));
+    }
+
+    /// Another content, or none, replaces that of the candidate.
+    fn replace_candidate(&mut self, session: u32, candidate: Option<Workers>) {
+        let editors = std::mem::take(&mut self.editors);
+        if self.is_candidate_changed() {
+            self.undo(session, editors);
+        }
+        self.candidate = candidate;
+    }
+
+    /// A session that edits after a refused commit goes on without what was undone.
+    fn record_edit(&mut self, session: u32) {
+        self.undone.retain(|editor, reported| *editor != session || !*reported);
+        self.editors.insert(session);
+    }
+
+    fn discard(&mut self, session: u32) {
+        self.undone.remove(&session);
+        self.replace_candidate(session, None);
+    }
+
+    /// Whether nothing that this session edited was undone by another one. If something was, that is reported.
+    fn has_all_edits(&mut self, session: u32) -> bool {
+        self.undone.get_mut(&session).map(|reported| *reported = true).is_none()
+    }
+
     /// Edits the candidate. Returns false and changes nothing if the edit must fail.
     fn edit(
         &mut self,
@@ -144,7 +185,11 @@
                 *entry = weight.or(*entry);
             }
         }
-        self.candidate = Some(workers);
+        match default_operation {
+            DefaultOperation::Replace => self.replace_candidate(session, Some(workers)),
+            _ => self.candidate = Some(workers),
+        }
+        self.record_edit(session);
         true
     }
 
@@ -203,14 +248,14 @@
                         default_operation,
                         ErrorOption::RollbackOnError,
                     );
-                    let stored =
-                        edited.and_then(|(data, _)| stores.put(Session(session), Datastore::Candidate, data));
+                    let stored = edited
+                        .and_then(|(data, _)| stores.put_edited(Session(session), data, default_operation));
                     (stored.is_ok(), model.edit(session, worker, operation, weight, default_operation))
                 }
                 Step::Discard(session) => {
                     let is_allowed = model.is_free(Datastore::Candidate, session);
                     if is_allowed {
-                        model.candidate = None;
+                        model.discard(session);
                     }
                     (stores.discard(Session(session)).is_ok(), is_allowed)
                 }
@@ -225,19 +270,26 @@
                     let applied = proposal.map(|proposal| stores.apply(now, proposal)).is_ok();
                     let is_allowed = model.is_free(Datastore::Running, session)
                         && model.is_free(Datastore::Candidate, session)
-                        && model.may_resolve(session, persist_id);
+                        && model.may_resolve(session, persist_id)
+                        && model.has_all_edits(session);
                     if is_allowed {
                         let before = model.running.clone();
+                        let mut editors = std::mem::take(&mut model.editors);
                         let candidate = model.candidate.take().unwrap_or_else(|| before.clone());
                         let pending = model.pending.take();
                         if confirmed {
-                            let (before, earlier_persist) =
-                                pending.map_or((before, None), |earlier| (earlier.before, earlier.persist));
+                            let (before, earlier_persist, earlier_editors) = match pending {
+                                Some(earlier) => (earlier.before, earlier.persist, earlier.editors),
+                                None => (before, None, BTreeSet::new()),
+                            };
+                            editors.extend(earlier_editors);
+                            editors.remove(&session);
                             model.pending = Some(PendingCommit {
                                 before,
                                 owner: session,
                                 persist: persist.or(earlier_persist),
                                 deadline: now + 500.0,
+                                editors,
                             });
                         }
                         model.make_running(candidate);
@@ -249,13 +301,14 @@
                     let applied = proposal.map(|proposal| stores.apply(now, proposal)).is_ok();
                     let is_allowed = model.pending.is_some() && model.may_resolve(session, persist_id);
                     if is_allowed {
-                        let before = model.pending.take().unwrap().before;
+                        let PendingCommit { before, editors, .. } = model.pending.take().unwrap();
+                        model.undo(session, editors);
                         model.make_running(before);
                     }
                     (applied, is_allowed)
                 }
                 Step::Lock(session, datastore) => {
-                    let changed = model.candidate.as_ref().is_some_and(|workers| *workers != model.running);
+                    let changed = model.is_candidate_changed();
                     let pending_elsewhere =
                         model.pending.as_ref().is_some_and(|pending| pending.owner != session);
                     let locked = model.locks.contains_key(&datastore);
@@ -271,7 +324,7 @@
                     if is_allowed {
                         model.locks.remove(&datastore);
                         if datastore == Datastore::Candidate {
-                            model.candidate = None;
+                            model.discard(session);
                         }
                     }
                     (stores.unlock(datastore, Session(session)).is_ok(), is_allowed)
@@ -286,14 +339,20 @@
                     let is_retained = number >= 1 && model.versions.len() as u64 - number < 32;
                     let is_allowed = is_retained && model.is_free(Datastore::Candidate, session);
                     if is_allowed {
-                        model.candidate = Some(model.versions[number as usize - 1].clone());
+                        model.replace_candidate(session, Some(model.versions[number as usize - 1].clone()));
+                        model.record_edit(session);
                     }
                     (stored, is_allowed)
                 }
                 Step::EndSession(session) => {
                     stores.end_session(now, Session(session));
                     if model.locks.get(&Datastore::Candidate) == Some(&session) {
-                        model.candidate = None;
+                        model.discard(session);
+                    }
+                    model.editors.remove(&session);
+                    model.undone.remove(&session);
+                    if let Some(pending) = &mut model.pending {
+                        pending.editors.remove(&session);
                     }
                     model.locks.retain(|_, holder| *holder != session);
                     if let Some(PendingCommit { owner, persist: None, deadline, .. }) = &mut model.pending {
@@ -311,7 +370,8 @@
                 stores.apply(now, rollback);
             }
             if model.pending.as_ref().is_some_and(|pending| now >= pending.deadline) {
-                let before = model.pending.take().unwrap().before;
+                let PendingCommit { before, editors, owner, .. } = model.pending.take().unwrap();
+                model.undo(owner, editors);
                 model.make_running(before);
             }
             let candidate = model.candidate.clone().unwrap_or_else(|| model.running.clone());
@@ -443,7 +503,7 @@
         {
             Ok((data, errors)) => {
                 assert!(errors.is_empty());
-                stores.put(Session(1), Datastore::Candidate, data).unwrap();
+                stores.put_edited(Session(1), data, DefaultOperation::Merge).unwrap();
                 accepted += 1;
             }
             Err(DatastoreError::Invalid(errors)) => {
--- a/crates/manager/src/cli/mod.rs
+++ b/crates/manager/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line. Without a command the program runs a manager.
 
+mod candidate;
 mod relay;
 mod remote;
 
--- a/crates/manager/src/cli/remote.rs
+++ b/crates/manager/src/cli/remote.rs
@@ -7,6 +7,7 @@
 use juniperrail_model::xml::{self, Element, NETCONF_NAMESPACE};
 use juniperrail_model::{diff, schema, Data, Difference, Path, Schema, Value};
 
+use super::candidate::{self, CandidateChange};
 use super::{as_json, print, print_json, read_text, CommandError};
 
 /// Address and credentials of a connection to a manager. Only the keys and authorities given here are trusted.
@@ -104,7 +105,7 @@
 }
 
 /// Arguments of a confirmed commit (RFC 6241).
-#[derive(Args)]
+#[derive(Args, Default)]
 pub struct ConfirmedCommitArgs {
     /// Reverts the commit after this number of seconds unless it is confirmed.
     #[arg(long, value_name = "SECONDS")]
@@ -114,6 +115,13 @@
     persist: Option<String>,
 }
 
+impl ConfirmedCommitArgs {
+    /// The parameters of the commit; `persist_id` names the confirmed commit that it confirms.
+    fn into_commit(self, persist_id: Option<String>) -> Commit {
+        Commit { confirm_timeout_s: self.confirm, persist: self.persist, persist_id }
+    }
+}
+
 /// Subcommands of `config`.
 #[derive(Subcommand)]
 pub enum ConfigCommand {
@@ -124,7 +132,7 @@
         #[command(flatten)]
         output: OutputArgs,
     },
-    /// Applies XML to the candidate and commits it, all or nothing.
+    /// Applies XML to the candidate and commits it, all or nothing. Refused if the candidate has uncommitted changes.
     Edit {
         /// File with a <config> element that holds the changes, or `-` for standard input.
         file: PathBuf,
@@ -178,9 +186,9 @@
     /// Runs the command in a session of its own.
     pub async fn run(self, connection: &ConnectionArgs) -> Result<(), CommandError> {
         // Reads the input first, so that the command fails on an invalid file before it opens a connection.
-        let edits = match &self {
-            ConfigCommand::Edit { file, .. } => Some(edit_content(&read_text(file)?)?),
-            _ => None,
+        let content = match &self {
+            ConfigCommand::Edit { file, .. } => edit_content(&read_text(file)?)?,
+            _ => String::new(),
         };
         let mut client = connection.connect().await?;
         match self {
@@ -189,11 +197,8 @@
                 print_data(reply, &output)?;
             }
             ConfigCommand::Edit { default_operation, no_commit, confirmed, .. } => {
-                let edits = edits.unwrap_or_default();
-                client.edit_with(&edits, default_operation.as_str(), "test-then-set").await?;
-                if !no_commit {
-                    commit(&mut client, confirmed, None).await?;
-                }
+                let change = CandidateChange::Edit { content, default_operation: default_operation.as_str() };
+                apply_change(&mut client, &change, no_commit, confirmed).await?;
             }
             ConfigCommand::Diff { from, to, json } => {
                 let from = read_datastore(&mut client, from).await?;
@@ -201,15 +206,13 @@
                 print_differences(&schema(), &diff(&schema(), &from, &to), json)?;
             }
             ConfigCommand::Commit { confirmed, persist_id } => {
-                commit(&mut client, confirmed, persist_id).await?;
+                candidate::commit(&mut client, &confirmed.into_commit(persist_id)).await?;
             }
             ConfigCommand::Cancel { persist_id } => client.cancel_commit(persist_id.as_deref()).await?,
-            ConfigCommand::Discard => client.discard().await?,
+            ConfigCommand::Discard => candidate::discard(&mut client).await?,
             ConfigCommand::Rollback { version, no_commit } => {
-                client.rollback(version).await?;
-                if !no_commit {
-                    commit(&mut client, ConfirmedCommitArgs { confirm: None, persist: None }, None).await?;
-                }
+                let change = CandidateChange::Restore { version };
+                apply_change(&mut client, &change, no_commit, ConfirmedCommitArgs::default()).await?;
             }
             ConfigCommand::Save => client.copy(Datastore::Running, Datastore::Startup).await?,
         }
@@ -217,20 +220,16 @@
     }
 }
 
-/// Commits the candidate. If the manager refuses, the changes are discarded, because the next commit would fail on them
-/// too.
-async fn commit(
+/// Makes a change in the candidate, and commits it unless `no_commit` is set.
+async fn apply_change(
     client: &mut Client,
+    change: &CandidateChange,
+    no_commit: bool,
     confirmed: ConfirmedCommitArgs,
-    persist_id: Option<String>,
 ) -> Result<(), CommandError> {
-    let ConfirmedCommitArgs { confirm, persist } = confirmed;
-    let result = client.commit(&Commit { confirm_timeout_s: confirm, persist, persist_id }).await;
-    if let Err(error) = result {
-        if !error.rpc_errors().is_empty() {
-            _ = client.discard().await;
-        }
-        return Err(error.into());
+    match no_commit {
+        true => candidate::prepare(client, change).await?,
+        false => candidate::change_and_commit(client, change, &confirmed.into_commit(None)).await?,
     }
     Ok(())
 }
--- a/crates/manager/tests/command_line.rs
+++ b/crates/manager/tests/command_line.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 
+use juniperrail_client::{Client, Commit, Datastore, Endpoint};
 use juniperrail_standins::{
     address_from_log, instance_json, list_json, AnsweringProxy, Discovery, Peer, SshKeyPair, SETTINGS,
 };
@@ -41,6 +42,11 @@
 
 impl TestManager {
     fn new(name: &str) -> TestManager {
+        TestManager::with_log_filter(name, "info")
+    }
+
+    /// Starts a manager whose log is filtered as `RUST_LOG` describes.
+    fn with_log_filter(name: &str, log_filter: &str) -> TestManager {
         let directory = create_directory(name);
         let (host_keys, ann_keys) =
             (SshKeyPair::write(&directory, "host", 1), SshKeyPair::write(&directory, "ann", 2));
@@ -63,7 +69,7 @@
         fs::write(directory.join("config.json"), config).unwrap();
         fs::write(directory.join("operator.xml"), operator_file).unwrap();
         let mut command = Command::new(PROGRAM);
-        command.env_clear().env("PROXY_CONFIG", directory.join("config.json"));
+        command.env_clear().env("PROXY_CONFIG", directory.join("config.json")).env("RUST_LOG", log_filter);
         command.args(["--operator-file", directory.join("operator.xml").to_str().unwrap(), "--log", "json"]);
         let mut manager = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(manager.stderr.take().unwrap());
@@ -93,6 +99,11 @@
 
     /// Runs a subcommand over SSH as the user ann. Returns the same as [`run_command`].
     fn run(&self, args: &[&str]) -> (i32, String, String) {
+        run_command(&mut self.command(args))
+    }
+
+    /// A subcommand over SSH as the user ann.
+    fn command(&self, args: &[&str]) -> Command {
         let mut command = Command::new(PROGRAM);
         let (subcommand, rest) = args.split_first().unwrap();
         command.env_clear().arg(subcommand).args(["--ssh", &self.ssh_address, "--user", "ann"]);
@@ -101,7 +112,21 @@
             .arg(&self.ann_keys.private_key_path)
             .arg("--host-key")
             .arg(&self.host_keys.public_key_path);
-        run_command(command.args(rest))
+        command.args(rest);
+        command
+    }
+
+    /// Reads the log until another session than `holder` requests a lock for the second time, after a denied request.
+    fn wait_for_denied_lock(&mut self, holder: u32) {
+        let mut requests = 0;
+        while requests < 2 {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the manager ended");
+            let event: serde_json::Value = serde_json::from_str(&line).unwrap();
+            let is_other = event["session"].as_u64().is_some_and(|session| session != u64::from(holder));
+            requests += usize::from(is_other && event["operation"] == "lock");
+            assert!(!line.contains(" ended: "), "a session ended before it requested the lock twice: {line}");
+        }
     }
 
     /// Writes an operator file whose element `workers` contains `body`, and returns the file's path.
@@ -171,6 +196,58 @@
     assert!(code == 1 && error.starts_with("juniperrail: line 1: "), "{error}");
 }
 
+/// Guards against the loss of one operator's change when the manager refuses the change of another (review case 9).
+#[test]
+fn a_refused_change_leaves_the_prepared_change_of_another_operator() {
+    let manager = TestManager::new("prepared");
+    let drain_file = manager.write_change_file("<worker><name>s-1</name><wanted>draining</wanted></worker>");
+    assert_eq!(manager.run(&["config", "edit", "--no-commit", &drain_file]).0, 0);
+    let (_, prepared, _) = manager.run(&["config", "diff"]);
+    assert!(prepared.contains("draining"), "{prepared}");
+    let refused_file = manager.write_change_file("<worker><name>s-2</name><weight>0</weight></worker>");
+    for other_change in [&["config", "edit", &refused_file][..], &["config", "rollback", "1"]] {
+        let (code, _, error) = manager.run(other_change);
+        assert_eq!((code, error.lines().count()), (3, 1), "{error}");
+        assert!(error.contains("the candidate has uncommitted changes"), "{error}");
+        assert_eq!(manager.run(&["config", "diff"]).1, prepared);
+    }
+    // A refused commit keeps what was prepared, too.
+    assert_eq!(manager.run(&["config", "edit", "--no-commit", &refused_file]).0, 0);
+    assert_eq!(manager.run(&["config", "commit"]).0, 3);
+    assert!(manager.run(&["config", "diff"]).1.contains("draining"));
+    let follow_file = manager.write_change_file("<worker><name>s-2</name><weight>1</weight></worker>");
+    assert_eq!(manager.run(&["config", "edit", "--no-commit", &follow_file]).0, 0);
+    assert_eq!(manager.run(&["config", "commit"]).0, 0);
+    assert!(manager.run(&["config", "get", "/workers"]).1.contains("<wanted>draining</wanted>"));
+}
+
+/// Guards against the interleaving of two operators' edits and commits in the shared candidate (review case 9): each
+/// command waits while another session holds the lock.
+#[test]
+fn a_change_waits_for_the_lock_of_another_session_and_is_then_committed() {
+    let mut manager = TestManager::with_log_filter("waits", "info,juniperrail_netconf=debug");
+    let drain_file = manager.write_change_file("<worker><name>s-1</name><wanted>draining</wanted></worker>");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let endpoint = Endpoint::ssh(&manager.ssh_address, "ann", &manager.ann_keys.private_key_path)
+            .with_host_key(&manager.host_keys.public_key_path);
+        let mut holder = Client::connect(&endpoint).await.unwrap();
+        holder.lock(Datastore::Candidate).await.unwrap();
+        let child = manager.command(&["config", "edit", &drain_file]).spawn().unwrap();
+        manager.wait_for_denied_lock(holder.session_id);
+        let workers =
+            ["s-1", "s-2"].map(|name| format!("<worker><name>{name}</name><weight>0</weight></worker>"));
+        let namespace = "tag:juniperrail.example,2026:yang:manager";
+        holder.edit(&format!("<workers xmlns=\"{namespace}\">{}</workers>", workers.concat())).await.unwrap();
+        let refusal = holder.commit(&Commit::default()).await.unwrap_err();
+        assert_eq!(refusal.rpc_errors()[0].app_tag.as_deref(), Some("no-ready-worker"));
+        holder.unlock(Datastore::Candidate).await.unwrap();
+        assert!(child.wait_with_output().unwrap().status.success());
+        let running = holder.get_config(Datastore::Running, None).await.unwrap().text();
+        assert!(running.contains("<wanted>draining</wanted>") && !running.contains("s-2"), "{running}");
+    });
+}
+
 #[test]
 fn log_is_json_on_request() {
     let mut manager = TestManager::new("json");
--- a/crates/manager/tests/northbound.rs
+++ b/crates/manager/tests/northbound.rs
@@ -844,3 +844,42 @@
         assert_eq!(yang, include_str!("../../../yang/juniperrail-manager.yang"));
     });
 }
+
+/// Guards against a commit that succeeds without its edits, because the refusal of another client's change had discarded
+/// them from the shared candidate. The clients are all pairs of transports.
+#[test]
+fn a_commit_whose_edits_another_client_discarded_is_refused_over_each_transport() {
+    run_async(async {
+        let environment = TestEnvironment::new("undone");
+        let (certificate, key, fingerprint) = environment.authority.issue("bob.example", VALID_NOW);
+        let tls_client = format!("<client><fingerprint>{fingerprint}</fingerprint><user>bob</user></client>");
+        let manager =
+            environment.start_manager(&environment.write_operator_file("operator.xml", &tls_client, ""));
+        let authorities = &environment.authority.certificate_path;
+        let tls_address = manager.tls_address.to_string();
+        let tls_endpoint = Endpoint::tls(tls_address, "manager.example", authorities, certificate, key);
+        let endpoints = [environment.ssh_endpoint(&manager, "ann"), tls_endpoint];
+        let valid_change = worker_config("s-1", "<wanted>draining</wanted>");
+        let invalid_change =
+            WORKERS.map(|(worker, _)| worker_config(worker, "<wanted>out</wanted>")).concat();
+        for (valid, invalid) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+            let mut client = Client::connect(&endpoints[valid]).await.unwrap();
+            let mut other = Client::connect(&endpoints[invalid]).await.unwrap();
+            client.edit(&valid_change).await.unwrap();
+            let refusal = edit_and_commit(&mut other, &invalid_change).await.unwrap_err();
+            assert_eq!(refusal.rpc_errors()[0].app_tag.as_deref(), Some("no-ready-worker"), "{refusal}");
+            let refusal = client.commit(&Commit::default()).await.unwrap_err();
+            let rpc_error = &refusal.rpc_errors()[0];
+            assert_eq!(
+                (rpc_error.tag.as_str(), rpc_error.app_tag.as_deref()),
+                ("operation-failed", Some("edits-undone"))
+            );
+            let names_session = format!("session {} ", other.session_id);
+            assert!(rpc_error.message.contains(&names_session), "{}", rpc_error.message);
+            edit_and_commit(&mut client, &valid_change).await.unwrap();
+            let running = client.get_config(Datastore::Running, None).await.unwrap();
+            assert!(running.text().contains("<wanted>draining</wanted>"), "{}", running.text());
+            edit_and_commit(&mut client, &worker_config("s-1", "<wanted>follow</wanted>")).await.unwrap();
+        }
+    });
+}
--- a/crates/netconf/src/error.rs
+++ b/crates/netconf/src/error.rs
@@ -137,6 +137,9 @@
     RpcError::new(error_type, tag, error.to_string()).with_info("session-id", holder.0.to_string())
 }
 
+/// The `error-app-tag` where another session's lock on a datastore prevents the operation; it may succeed later.
+const LOCKED_TAG: &str = "datastore-locked";
+
 /// Converts a datastore error to one or more `rpc-error`s.
 pub fn from_datastore_error(error: &DatastoreError) -> Vec<RpcError> {
     let single_error = |error_type, tag| RpcError::new(error_type, tag, error.to_string());
@@ -144,14 +147,20 @@
         DatastoreError::Invalid(model_errors) => return model_errors.iter().map(from_model_error).collect(),
         DatastoreError::NotAdmitted(refusals) => return refusals.iter().map(from_refusal).collect(),
         DatastoreError::LockDenied(holder) => {
-            lock_holder_error(ErrorType::Protocol, "lock-denied", error, *holder)
+            let error = lock_holder_error(ErrorType::Protocol, "lock-denied", error, *holder);
+            RpcError { app_tag: Some(LOCKED_TAG), ..error }
         }
         // RFC 6241 section 7.5: session-id 0 means that no NETCONF session holds the lock.
         DatastoreError::CandidateChanged => {
             lock_holder_error(ErrorType::Protocol, "lock-denied", error, Session(0))
         }
-        DatastoreError::InUse(_) | DatastoreError::ConfirmedCommitPending(_) => {
-            single_error(ErrorType::Protocol, "in-use")
+        DatastoreError::InUse(_) => {
+            RpcError { app_tag: Some(LOCKED_TAG), ..single_error(ErrorType::Protocol, "in-use") }
+        }
+        DatastoreError::ConfirmedCommitPending(_) => single_error(ErrorType::Protocol, "in-use"),
+        DatastoreError::EditsUndone(_) => {
+            let error = single_error(ErrorType::Application, "operation-failed");
+            RpcError { app_tag: Some("edits-undone"), ..error }
         }
         DatastoreError::NotLocked => single_error(ErrorType::Protocol, "operation-failed"),
         DatastoreError::NoConfirmedCommitPending => single_error(ErrorType::Protocol, "operation-failed"),
--- a/crates/northbound/src/datastore_manager.rs
+++ b/crates/northbound/src/datastore_manager.rs
@@ -304,6 +304,7 @@
             killed_by: None,
         };
         inner.sessions.insert(session, open_session);
+        inner.datastores.open_session(session, user);
         drop(inner);
         let caller = Caller { session, user: user.into() };
         tracing::info!("session {} of {user} from {client_origin} is open", session.0);
@@ -425,7 +426,7 @@
             inner.datastores.validate(&data)?;
         }
         if test_option != TestOption::TestOnly {
-            inner.datastores.put(caller.session, Datastore::Candidate, data)?;
+            inner.datastores.put_edited(caller.session, data, default_operation)?;
         }
         Ok(errors)
     }
