Streams: hundreds of long unfinished lines share the memory of four

Cause: each connection's buffer may grow to the protocol's 1 MiB (2 MiB by doubling), and kept that size after the line. Evidence: RssAnon of a manager with 300 such proxies 135 MB; after 100 complete lines of 900 KB, all connections idle, 96 MB.

Change: 8 KiB a connection; a longer line needs one of four permits, granted in the order of the requests, and gives it and the memory back when it is complete. While others wait, a holder that pauses for 100 ms or needs more than 1 s is disconnected. Why it works: the bytes beyond the small buffers are at most those of four lines, the others' stay in the kernel's bounded buffers, and a permit comes free within a second whatever its holder does. Reports are far shorter than 8 KiB and never wait.

Measured (aarch64, release): 100 proxies 101 MB before, 9 MB after; 400 proxies 378 MB before, 18 MB after. Both tests in overload.rs fail on (134,590,464 and 95,678,464 bytes, 32,000,000 allowed) and pass now. The line buffer's tests call its new methods and assert what they did.

--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -26,6 +26,7 @@
 mod listening;
 mod listing;
 mod log_summary;
+mod long_lines;
 mod northbound;
 mod order_writer;
 mod probes;
@@ -54,6 +55,9 @@
 /// Inbound messages that can be queued for the next turn. When the queue is full, senders wait.
 const INBOX_CAPACITY: usize = 4096;
 
+/// Connections that hold a line of up to 1 MiB at a time. All others have a small buffer.
+const MAX_LONG_LINES: usize = 4;
+
 /// Minimum listen backlog: that of tokio's own listeners.
 const MIN_BACKLOG: u32 = 1024;
 
@@ -151,6 +155,7 @@
             last_stream_id: Default::default(),
             open_count: Default::default(),
             max_open: budget.open,
+            long_lines: Rc::new(long_lines::LongLineLimiter::new(MAX_LONG_LINES)),
         });
         // Dropping the stop handle ends the northbound thread.
         let (northbound, _stop_northbound) = northbound.map(northbound::Northbound::start).unzip();
--- a/crates/manager/src/line_buffer/tests.rs
+++ b/crates/manager/src/line_buffer/tests.rs
@@ -4,11 +4,14 @@
 fn split_into_lines(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, usize) {
     let (mut buffer, mut lines, mut scanned) = (LineBuffer::default(), Vec::new(), 0);
     for piece in pieces {
-        buffer.space(piece.len()).extend_from_slice(piece);
+        buffer.discard_line();
+        buffer.space(piece.len(), usize::MAX).extend_from_slice(piece);
         loop {
             scanned += buffer.bytes.len() - buffer.scanned;
-            let Some(line) = buffer.next() else { break };
-            lines.push(line.to_vec());
+            if !buffer.advance() {
+                break;
+            }
+            lines.push(buffer.line().to_vec());
         }
     }
     (lines, scanned)
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use juniperrail_interface::ProxyId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -20,7 +19,8 @@
 use crate::connection_error::{ConnectionError, Stage};
 use crate::inbound::{Hello, Inbound, Outbox, StreamId};
 use crate::limiter::{ConnectionLimiter, KnownZones};
-use crate::line_buffer::LineBuffer;
+use crate::line_buffer::{LineBuffer, SMALL_CAPACITY_BYTES};
+use crate::long_lines::{LongLineLimiter, LongLinePermit};
 use crate::protocol::{self, Message, ParseError};
 
 /// Messages queued for a proxy that reads slowly, in addition to what its socket buffers.
@@ -53,6 +53,8 @@
     pub open_count: Cell<usize>,
     /// Limit on open connections. The descriptors beyond it are reserved for the watch and the probes.
     pub max_open: usize,
+    /// Limits the connections that hold a long line.
+    pub long_lines: Rc<LongLineLimiter>,
 }
 
 /// Accepts connections forever. After a failed accept it pauses for `pause`.
@@ -130,7 +132,7 @@
 ) -> Result<(), ConnectionError> {
     socket.set_nodelay(true).map_err(ConnectionError::io(Stage::Connecting))?;
     let (read, mut write) = socket.into_split();
-    let mut lines = LineReader { read, buffer: LineBuffer::default(), checked_bytes: 0 };
+    let mut lines = LineReader::new(read, context.long_lines.clone());
     let introduction = tokio::select! {
         biased;
         introduction = read_introduction(&mut lines, &mut write, &context) => introduction,
@@ -180,8 +182,8 @@
     write: &mut OwnedWriteHalf,
     context: &AcceptorContext,
 ) -> Result<Option<Message>, ConnectionError> {
-    while let Some(line) = lines.next(protocol::MAX_FIRST_LINE_BYTES).await? {
-        let reason = match protocol::parse(&line) {
+    while lines.advance(protocol::MAX_FIRST_LINE_BYTES).await? {
+        let reason = match protocol::parse(lines.line()) {
             Ok(Message::Probe) => {
                 write.write_all(&protocol::ALIVE).await.map_err(ConnectionError::io(Stage::Sent))?;
                 continue;
@@ -213,7 +215,7 @@
         let mut remaining = MAX_DISCARDED_BYTES;
         while remaining > 0 {
             lines.buffer.clear();
-            match lines.read.read_buf(lines.buffer.space(MIN_READ_BYTES)).await {
+            match lines.read.read_buf(lines.buffer.space(MIN_READ_BYTES, SMALL_CAPACITY_BYTES)).await {
                 Ok(0) | Err(_) => return,
                 Ok(read) => remaining = remaining.saturating_sub(read),
             }
@@ -237,8 +239,8 @@
     let (probe_sender, mut probes) = mpsc::channel(OUTBOX_CAPACITY);
     _ = context.inbound.send(Inbound::Joined { stream: id, hello, outbox }).await;
     let reading = async {
-        while let Some(line) = lines.next(protocol::MAX_LINE_BYTES).await? {
-            match parse_inbound(&line, sender)? {
+        while lines.advance(protocol::MAX_LINE_BYTES).await? {
+            match parse_inbound(lines.line(), sender)? {
                 Some(inbound) => _ = context.inbound.send(inbound).await,
                 // If the proxy sends probes faster than it reads the answers, reading its next lines waits here.
                 None => _ = probe_sender.send(()).await,
@@ -281,9 +283,9 @@
     mut write: OwnedWriteHalf,
     context: Rc<AcceptorContext>,
 ) -> Result<(), ConnectionError> {
-    while let Some(line) = lines.next(protocol::MAX_LINE_BYTES).await? {
+    while lines.advance(protocol::MAX_LINE_BYTES).await? {
         context.collector_limiter.touch(id);
-        match parse_inbound(&line, None)? {
+        match parse_inbound(lines.line(), None)? {
             Some(inbound) => _ = context.inbound.send(inbound).await,
             None => write.write_all(&protocol::ALIVE).await.map_err(ConnectionError::io(Stage::Sent))?,
         }
@@ -310,18 +312,27 @@
 struct LineReader {
     read: OwnedReadHalf,
     buffer: LineBuffer,
+    long_lines: Rc<LongLineLimiter>,
+    /// Held while the buffer is larger than [`SMALL_CAPACITY_BYTES`].
+    permit: Option<LongLinePermit>,
     /// Bytes of the unfinished line that [`protocol::check_unfinished_line`] has checked.
     checked_bytes: usize,
 }
 
 impl LineReader {
-    /// The next line, of at most `max_bytes`; `None` at the end of the stream.
-    async fn next(&mut self, max_bytes: usize) -> Result<Option<BytesMut>, ConnectionError> {
+    fn new(read: OwnedReadHalf, long_lines: Rc<LongLineLimiter>) -> LineReader {
+        let buffer = LineBuffer::default();
+        LineReader { read, buffer, long_lines, permit: None, checked_bytes: 0 }
+    }
+
+    /// Reads until the next line, of at most `max_bytes`, is complete. Returns false at the end of the stream.
+    async fn advance(&mut self, max_bytes: usize) -> Result<bool, ConnectionError> {
         loop {
-            if let Some(line) = self.buffer.next() {
+            if self.buffer.advance() {
                 self.checked_bytes = 0;
-                return Ok(Some(line));
+                return Ok(true);
             }
+            self.buffer.discard_line();
             let unfinished = self.buffer.unfinished();
             let Some(checked_bytes) = protocol::check_unfinished_line(unfinished, self.checked_bytes) else {
                 return Err(ConnectionError::reading("it sent bytes that are not a message"));
@@ -330,15 +341,48 @@
             if unfinished.len() > max_bytes {
                 return Err(ConnectionError::reading(format!("a line is longer than {max_bytes} bytes")));
             }
-            let space = self.buffer.space(MIN_READ_BYTES);
-            if self.read.read_buf(space).await.map_err(ConnectionError::io(Stage::Reading))? == 0 {
+            let read = self.read_more().await?;
+            if read == 0 {
                 return match self.buffer.unfinished().is_empty() {
-                    true => Ok(None),
+                    true => Ok(false),
                     false => Err(ConnectionError::reading("it ended within a line")),
                 };
             }
         }
     }
+
+    /// The line that [`LineReader::advance`] has completed.
+    fn line(&self) -> &[u8] {
+        self.buffer.line()
+    }
+
+    /// Reads once from the socket and returns the number of bytes; 0 at the end of the stream. The buffer grows only with
+    /// a permit, and a connection loses its permit only together with its buffer.
+    async fn read_more(&mut self) -> Result<usize, ConnectionError> {
+        let max_capacity = protocol::MAX_LINE_BYTES + MIN_READ_BYTES;
+        let is_small = self.buffer.next_capacity(MIN_READ_BYTES, max_capacity) <= SMALL_CAPACITY_BYTES;
+        match &self.permit {
+            Some(_) if is_small => self.permit = None,
+            None if !is_small => self.permit = Some(self.long_lines.clone().acquire().await),
+            _ => {}
+        }
+        let too_slow = || {
+            ConnectionError::reading("it kept others waiting that had long lines too, and its own is late")
+        };
+        let space = self.buffer.space(MIN_READ_BYTES, max_capacity);
+        let Some(permit) = &mut self.permit else {
+            return self.read.read_buf(space).await.map_err(ConnectionError::io(Stage::Reading));
+        };
+        let read = tokio::select! {
+            biased;
+            read = self.read.read_buf(space) => read.map_err(ConnectionError::io(Stage::Reading))?,
+            () = permit.stalled() => return Err(too_slow()),
+        };
+        match permit.record_read() {
+            true => Ok(read),
+            false => Err(too_slow()),
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/manager/src/streams/tests.rs
+++ b/crates/manager/src/streams/tests.rs
@@ -16,6 +16,7 @@
         last_stream_id,
         open_count,
         max_open,
+        long_lines: Rc::new(LongLineLimiter::new(0)),
     });
     let peer_address = "127.0.0.1:1".parse().unwrap();
     let tasks = tokio::task::LocalSet::new();
--- /dev/null
+++ b/crates/manager/tests/overload.rs
@@ -0,0 +1,90 @@
+//! Proxies that write slowly or without a pause, on real connections to a manager in a process of its own. Memory is
+//! compared with what the manager may take in production.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+
+use common::{config, ManagerProcess};
+use juniperrail_standins::Peer;
+
+/// The smallest memory limit of a manager in production.
+const MEMORY_LIMIT_BYTES: u64 = 32_000_000;
+
+/// The length of a line near the limit of 1 MiB.
+const LONG_LINE_BYTES: usize = 900 << 10;
+
+/// Starts a manager that these proxies may join.
+fn start_manager(name: &str, proxies: usize) -> ManagerProcess {
+    // Nothing listens there: the manager keeps its cached list.
+    let discovery = "127.0.0.1:9".parse().unwrap();
+    let config = config(discovery, 2048).replace("\"proxy-count\":20", &format!("\"proxy-count\":{proxies}"));
+    ManagerProcess::start(name, &config)
+}
+
+/// The memory of a process that no file backs.
+fn anonymous_bytes(manager: &ManagerProcess) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", manager.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+}
+
+/// The start of a valid report, with an unknown field of this length and without the end of the line.
+fn unfinished_line(bytes: usize) -> String {
+    format!("demand node=0 route=lookup total=1 errors=0 interval=1000 padding={}", "x".repeat(bytes))
+}
+
+/// Sends a probe and waits for the answer.
+fn probe(peer: &mut Peer) {
+    peer.send_line("probe");
+    peer.next_line_containing("alive");
+}
+
+/// Guards against a process that is killed for its memory because hundreds of proxies stop in the middle of a long line.
+#[test]
+fn unfinished_lines_of_hundreds_of_proxies_take_bounded_memory() {
+    const PROXIES: u16 = 300;
+    const SAMPLES: u32 = 40;
+    const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+    let manager = start_manager("unfinished", 400);
+    let mut prompt = Peer::connect_as_proxy(manager.address, 399);
+    let line = unfinished_line(LONG_LINE_BYTES);
+    let mut stalled: Vec<Peer> = Vec::new();
+    let mut peak = 0;
+    for number in 0..PROXIES {
+        let mut proxy = Peer::connect_as_proxy(manager.address, number);
+        // Fails where the manager has already closed the connection.
+        _ = proxy.try_send_raw(&line);
+        stalled.push(proxy);
+        peak = peak.max(anonymous_bytes(&manager));
+        if number % 100 == 99 {
+            // A proxy that finishes its long line is served meanwhile.
+            prompt.send_line(&unfinished_line(LONG_LINE_BYTES));
+            probe(&mut prompt);
+        }
+    }
+    // The manager may still have to read what the kernel holds.
+    for _ in 0..SAMPLES {
+        thread::sleep(SAMPLE_INTERVAL);
+        peak = peak.max(anonymous_bytes(&manager));
+    }
+    assert!(peak < MEMORY_LIMIT_BYTES, "{peak} bytes with {} unfinished lines", stalled.len());
+}
+
+/// Guards against buffers that stay as large as the longest line was, for each of hundreds of connections.
+#[test]
+fn finished_long_lines_leave_no_memory_behind() {
+    const PROXIES: u16 = 100;
+    let manager = start_manager("finished", 100);
+    let mut proxies: Vec<Peer> = Vec::new();
+    for number in 0..PROXIES {
+        let mut proxy = Peer::connect_as_proxy(manager.address, number);
+        proxy.send_line(&unfinished_line(LONG_LINE_BYTES));
+        probe(&mut proxy);
+        proxies.push(proxy);
+    }
+    let bytes = anonymous_bytes(&manager);
+    assert!(bytes < MEMORY_LIMIT_BYTES, "{bytes} bytes after {PROXIES} long lines");
+    proxies.iter_mut().for_each(probe);
+}
