Streams: a proxy that sends without a pause delays no other connection

Seen: one proxy with lines of 150,000 short fields delays other connections' probes to 163 to 4,880 ms; beside 20 such proxies none is answered within 5 s, and the manager takes a proxy for silent.

Cause: a line was split into a hash map of all its fields (some 38 ms of the only thread), and nothing but the runtime's cooperative budget, after 128 such lines, gave others a turn. Errors quoted whole values of up to 1 MiB.

Change: at most 64 fields and 64 load metrics in a line, names of at most 1 KiB, errors that quote 32 characters; a connection gives way after each 64 KiB. Why it works: what one task does in one turn is bounded by bytes, and no line costs more than a pass over its bytes.

--- a/crates/manager/src/protocol.rs
+++ b/crates/manager/src/protocol.rs
@@ -1,7 +1,6 @@
 //! The line protocol of proxies and collectors: parses lines into typed messages and encodes messages. No I/O.
 
-use std::collections::HashMap;
-use std::fmt::{Display, Write};
+use std::fmt::{self, Display, Write};
 use std::str::FromStr;
 
 use bytes::Bytes;
@@ -15,8 +14,14 @@
 const MAX_VALUE: f64 = 3_600_000.0;
 /// Limit on the parts of one message.
 pub const MAX_PARTS: usize = 64;
-/// Characters of an unknown message kind that the error quotes.
-const MAX_QUOTED_KIND_CHARS: usize = 32;
+/// Limit on the fields of one line, unknown ones included.
+const MAX_FIELDS: usize = 64;
+/// Limit on the pairs of a load report, unknown ones included.
+const MAX_METRICS: usize = 64;
+/// Limit on the length of a name. Reports wait in the decider's queue with their names.
+const MAX_NAME_BYTES: usize = 1024;
+/// Characters of a line that an error quotes.
+const MAX_QUOTED_CHARS: usize = 32;
 /// The answer to a probe.
 pub const ALIVE: Bytes = Bytes::from_static(b"alive\r\n");
 /// Sent to a peer that did not introduce itself in time.
@@ -108,23 +113,56 @@
     valid.then_some(line.len())
 }
 
-/// The `name=value` fields of a line.
-struct Fields<'a>(HashMap<&'a str, &'a str>);
+/// Displays the start of a text in quotes, since a peer may send any length.
+struct Quoted<'a>(&'a str);
+
+impl Display for Quoted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.char_indices().nth(MAX_QUOTED_CHARS) {
+            Some((end, _)) => write!(f, "{:?}...", &self.0[..end]),
+            None => write!(f, "{:?}", self.0),
+        }
+    }
+}
+
+/// The `name=value` fields of a line, in its order.
+struct Fields<'a>(Vec<(&'a str, &'a str)>);
 
 impl<'a> Fields<'a> {
+    fn parse(text: &'a str) -> Result<Fields<'a>, String> {
+        let mut fields = Vec::new();
+        for field in text.split(' ').filter(|field| !field.is_empty()) {
+            if fields.len() == MAX_FIELDS {
+                return Err(format!("it has more than {MAX_FIELDS} fields"));
+            }
+            fields.push(field.split_once('=').ok_or_else(|| format!("{} has no value", Quoted(field)))?);
+        }
+        Ok(Fields(fields))
+    }
+
+    /// The value of a field; the last one if the line repeats it.
+    fn find(&self, name: &str) -> Option<&'a str> {
+        self.0.iter().rfind(|(field, _)| *field == name).map(|(_, value)| *value)
+    }
+
     fn text(&self, name: &str) -> Result<&'a str, String> {
-        self.0.get(name).copied().ok_or_else(|| format!("{name} is missing"))
+        self.find(name).ok_or_else(|| format!("{name} is missing"))
     }
 
-    fn owned_text(&self, name: &str) -> Result<String, String> {
-        self.text(name).map(str::to_string)
+    /// The name of a zone, worker or operation.
+    fn name(&self, name: &str) -> Result<String, String> {
+        let text = self.text(name)?;
+        match text.len() <= MAX_NAME_BYTES {
+            true => Ok(text.to_string()),
+            false => Err(format!("{name} is longer than {MAX_NAME_BYTES} bytes: {}", Quoted(text))),
+        }
     }
 
     /// A time or a rate. The range check keeps one huge or negative value from dominating the sums.
     fn value(&self, name: &str) -> Result<f64, String> {
         let text = self.text(name)?;
         let value = text.parse().ok().filter(|value| (0.0..=MAX_VALUE).contains(value));
-        value.ok_or_else(|| format!("{name} is not a number within 0..{MAX_VALUE}: {text:?}"))
+        value.ok_or_else(|| format!("{name} is not a number within 0..{MAX_VALUE}: {}", Quoted(text)))
     }
 
     fn duration(&self, name: &str) -> Result<Ms, String> {
@@ -134,7 +172,7 @@
     /// An integer of the type `N`; the error names `max`, the largest value of that type.
     fn integer<N: FromStr + Display>(&self, name: &str, max: N) -> Result<N, String> {
         let text = self.text(name)?;
-        text.parse().map_err(|_| format!("{name} is not an integer within 0..{max}: {text:?}"))
+        text.parse().map_err(|_| format!("{name} is not an integer within 0..{max}: {}", Quoted(text)))
     }
 
     fn count(&self, name: &str) -> Result<f64, String> {
@@ -142,17 +180,24 @@
     }
 
     fn load(&self) -> Result<Load, String> {
-        let mut load = Load::default();
-        let pairs = self.0.get("metrics").copied().unwrap_or("");
-        match pairs
-            .split(',')
-            .filter(|pair| !pair.is_empty())
-            .try_for_each(|pair| set_metric(&mut load, pair))
-        {
-            Some(()) => Ok(load),
-            None => Err(format!("metrics holds an invalid pair: {pairs:?}")),
+        let text = self.find("metrics").unwrap_or("");
+        parse_metrics(text).ok_or_else(|| {
+            format!("metrics holds an invalid pair, or more than {MAX_METRICS}: {}", Quoted(text))
+        })
+    }
+}
+
+/// Parses the pairs of a load report; `None` if one is invalid or there are too many.
+fn parse_metrics(text: &str) -> Option<Load> {
+    let mut load = Load::default();
+    let pairs = text.split(',').filter(|pair| !pair.is_empty());
+    for (index, pair) in pairs.enumerate() {
+        if index == MAX_METRICS {
+            return None;
         }
+        set_metric(&mut load, pair)?;
     }
+    Some(load)
 }
 
 /// Sets the metric that `pair` names; unknown names are ignored. `None` if the pair is invalid.
@@ -174,10 +219,7 @@
 
 /// Parses the load report in the body of a worker's answer to a probe; `None` if it is invalid.
 pub fn parse_load(body: &[u8]) -> Option<Load> {
-    let mut load = Load::default();
-    let pairs = std::str::from_utf8(body).ok()?.trim();
-    pairs.split(',').filter(|pair| !pair.is_empty()).try_for_each(|pair| set_metric(&mut load, pair))?;
-    Some(load)
+    parse_metrics(std::str::from_utf8(body).ok()?.trim())
 }
 
 /// Parses one line, given without its line ending.
@@ -186,24 +228,21 @@
         std::str::from_utf8(line).map_err(|_| ParseError::NotAMessage("a line is not valid UTF-8".into()))?;
     let (kind, fields) = line.split_once(' ').unwrap_or((line, ""));
     if !KINDS.contains(&kind) {
-        let kind: String = kind.chars().take(MAX_QUOTED_KIND_CHARS).collect();
-        return Err(ParseError::NotAMessage(format!("unknown message kind {kind:?}")));
+        return Err(ParseError::NotAMessage(format!("unknown message kind {}", Quoted(kind))));
     }
     parse_message(kind, fields).map_err(|reason| ParseError::InvalidFields(format!("{kind}: {reason}")))
 }
 
 fn parse_message(kind: &str, fields: &str) -> Result<Message, String> {
-    let pairs = fields.split(' ').filter(|field| !field.is_empty());
-    let pairs = pairs.map(|field| field.split_once('=').ok_or_else(|| format!("{field:?} has no value")));
-    let fields = Fields(pairs.collect::<Result<_, _>>()?);
+    let fields = Fields::parse(fields)?;
     Ok(match kind {
         "probe" => Message::Probe,
-        "agent" => Message::Agent { zone: fields.owned_text("locality")? },
+        "agent" => Message::Agent { zone: fields.name("locality")? },
         "hello" => Message::Hello {
             proxy: fields.integer("node", u16::MAX)?,
-            zone: fields.owned_text("locality")?,
-            inv_per_second: if fields.0.contains_key("w") { fields.value("w")? } else { 0.0 },
-            fresh: fields.0.get("cold").is_some_and(|cold| *cold == "1"),
+            zone: fields.name("locality")?,
+            inv_per_second: if fields.find("w").is_some() { fields.value("w")? } else { 0.0 },
+            fresh: fields.find("cold") == Some("1"),
         },
         "outcomes" => {
             let (tries, failed) = (fields.count("total")?, fields.count("errors")?);
@@ -211,8 +250,8 @@
                 return Err(format!("errors is more than total: {failed} of {tries}"));
             }
             Message::Report(Report::Outcomes {
-                zone: fields.owned_text("locality")?,
-                worker: fields.owned_text("endpoint")?,
+                zone: fields.name("locality")?,
+                worker: fields.name("endpoint")?,
                 tries,
                 failed,
                 // Without a successful try there is no mean latency; the rest of the report still counts.
@@ -223,7 +262,7 @@
         }
         "demand" => Message::Report(Report::Demand {
             proxy: fields.integer("node", u16::MAX)?,
-            op: fields.owned_text("route")?,
+            op: fields.name("route")?,
             invocations: fields.count("total")?,
             // May exceed the total: an invocation received in an earlier interval may go unanswered in this one.
             unanswered: fields.count("errors")?,
--- a/crates/manager/src/protocol/tests.rs
+++ b/crates/manager/src/protocol/tests.rs
@@ -104,3 +104,30 @@
         assert!(check_unfinished_line(start, 0).is_none(), "{start:?} is not rejected");
     }
 }
+
+/// Guards against lines that are slow to parse or whose parts stay in memory: their number and length are limited.
+#[test]
+fn long_lines_cost_little_and_errors_quote_only_their_start() {
+    let long = "x".repeat(100_000);
+    let many_pairs = |pair: &str, separator: &str, count: usize| vec![pair; count].join(separator);
+    let report = "outcomes locality=a endpoint=s total=1 errors=1 interval=1";
+    assert!(parse(format!("{report} {}", many_pairs("a=b", " ", 50)).as_bytes()).is_ok());
+    assert!(parse(format!("{report} metrics={}", many_pairs("a:1", ",", 64)).as_bytes()).is_ok());
+    assert!(parse(format!("{report} unknown={long}").as_bytes()).is_ok(), "unknown fields are ignored");
+    for (line, expected) in [
+        (format!("{report} {}", many_pairs("a=b", " ", 60)), "it has more than 64 fields"),
+        (format!("{report} metrics={}", many_pairs("a:1", ",", 65)), "or more than 64"),
+        (
+            format!("demand node=1 route={long} total=1 errors=0 interval=1"),
+            "route is longer than 1024 bytes",
+        ),
+        (format!("{report}{long}"), "interval is not a number"),
+        (format!("demand {long}"), "has no value"),
+        (format!("{report} metrics={long}"), "metrics holds an invalid pair"),
+    ] {
+        let Err(ParseError::InvalidFields(reason)) = parse(line.as_bytes()) else {
+            panic!("expected {expected:?}, got {:?}", parse(line.as_bytes()))
+        };
+        assert!(reason.contains(expected) && reason.len() < 200, "{reason:?} does not contain {expected:?}");
+    }
+}
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -29,6 +29,9 @@
 /// Minimum free space in the buffer before each read from a socket.
 const MIN_READ_BYTES: usize = 4096;
 
+/// Bytes that a connection reads and parses before others get their turn.
+const BYTES_PER_TURN: usize = 64 << 10;
+
 /// A connection has to introduce itself within this time. A rejected peer has as long again to close its side.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -317,12 +320,14 @@
     permit: Option<LongLinePermit>,
     /// Bytes of the unfinished line that [`protocol::check_unfinished_line`] has checked.
     checked_bytes: usize,
+    /// Bytes read and bytes of lines returned since other tasks had their turn.
+    bytes_in_turn: usize,
 }
 
 impl LineReader {
     fn new(read: OwnedReadHalf, long_lines: Rc<LongLineLimiter>) -> LineReader {
         let buffer = LineBuffer::default();
-        LineReader { read, buffer, long_lines, permit: None, checked_bytes: 0 }
+        LineReader { read, buffer, long_lines, permit: None, checked_bytes: 0, bytes_in_turn: 0 }
     }
 
     /// Reads until the next line, of at most `max_bytes`, is complete. Returns false at the end of the stream.
@@ -330,6 +335,7 @@
         loop {
             if self.buffer.advance() {
                 self.checked_bytes = 0;
+                self.take_turns(self.buffer.line().len()).await;
                 return Ok(true);
             }
             self.buffer.discard_line();
@@ -348,6 +354,7 @@
                     false => Err(ConnectionError::reading("it ended within a line")),
                 };
             }
+            self.take_turns(read).await;
         }
     }
 
@@ -383,6 +390,15 @@
             false => Err(too_slow()),
         }
     }
+
+    /// Lets other tasks run after every [`BYTES_PER_TURN`], so that a peer that sends without a pause delays no other.
+    async fn take_turns(&mut self, bytes: usize) {
+        self.bytes_in_turn += bytes;
+        if self.bytes_in_turn >= BYTES_PER_TURN {
+            self.bytes_in_turn = 0;
+            yield_now().await;
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/manager/tests/overload.rs
+++ b/crates/manager/tests/overload.rs
@@ -3,8 +3,9 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{config, ManagerProcess};
 use juniperrail_standins::Peer;
@@ -15,6 +16,9 @@
 /// The length of a line near the limit of 1 MiB.
 const LONG_LINE_BYTES: usize = 900 << 10;
 
+/// Fields of a line of many short fields.
+const MANY_FIELDS: usize = 150_000;
+
 /// Starts a manager that these proxies may join.
 fn start_manager(name: &str, proxies: usize) -> ManagerProcess {
     // Nothing listens there: the manager keeps its cached list.
@@ -35,6 +39,15 @@
     format!("demand node=0 route=lookup total=1 errors=0 interval=1000 padding={}", "x".repeat(bytes))
 }
 
+/// Sets a flag when it is dropped, also by a failed assertion.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Sends a probe and waits for the answer.
 fn probe(peer: &mut Peer) {
     peer.send_line("probe");
@@ -88,3 +101,48 @@
     assert!(bytes < MEMORY_LIMIT_BYTES, "{bytes} bytes after {PROXIES} long lines");
     proxies.iter_mut().for_each(probe);
 }
+
+/// Guards against proxies whose lines are slow to parse, and that keep all other connections from being served. An answer may
+/// wait for one line of each such proxy, not for more.
+#[test]
+fn lines_of_many_fields_sent_without_a_pause_delay_no_other_connection() {
+    const FLOODING_PROXIES: u16 = 20;
+    const PROBES: usize = 15;
+    let manager = start_manager("fields", 100);
+    let fields: Vec<String> = (0..MANY_FIELDS).map(|field| format!("{field:x}=")).collect();
+    let line = format!("outcomes {}", fields.join(" "));
+    let mut single = Peer::connect_as_proxy(manager.address, 99);
+    let mut other = Peer::connect(manager.address);
+    let median = |mut durations: Vec<Duration>| {
+        durations.sort();
+        durations[durations.len() / 2]
+    };
+    let line_durations = (0..PROBES).map(|_| {
+        let start = Instant::now();
+        single.send_line(&line);
+        probe(&mut single);
+        start.elapsed()
+    });
+    let line_duration = median(line_durations.collect());
+    let stopping = AtomicBool::new(false);
+    let probe_duration = thread::scope(|scope| {
+        let _stop = SetOnDrop(&stopping);
+        for number in 0..FLOODING_PROXIES {
+            let mut proxy = Peer::connect_as_proxy(manager.address, number);
+            let (stopping, line) = (&stopping, &line);
+            scope.spawn(move || {
+                while !stopping.load(Ordering::Relaxed) && proxy.try_send_raw(&format!("{line}\r\n")).is_ok()
+                {
+                }
+            });
+        }
+        let probe_durations = (0..PROBES).map(|_| {
+            let start = Instant::now();
+            probe(&mut other);
+            start.elapsed()
+        });
+        median(probe_durations.collect())
+    });
+    let limit = line_duration * u32::from(FLOODING_PROXIES);
+    assert!(probe_duration < limit, "{probe_duration:?}, {line_duration:?} for one line alone");
+}
