NETCONF: long messages of all sessions take the memory of two

Seen: 60 sessions that stop in the middle of 3.9 MB take 254 MB over SSH and 234 MB over TLS; messages of 900,000 short elements 265 MB, and another session gets no reply within 10 s; sessions keep the memory of their longest message (245 MB, all idle).

Cause: each of 64 sessions could hold a message of 4 MiB and a tree of any number of elements, all at once, and the decoder's buffer kept its allocation.

Change: a message beyond 64 KiB needs one of two permits until it is handled; at most 65,536 elements and attributes a message; at most four requests as trees at a time, a long one alone; the decoder gives memory back; an SSH window of 64 KiB. The permits move from the manager to crates/limits, which streams and sessions share. Why it works: memory is bounded by permits and not by sessions, and a permit is free again after 10 s at most whatever its holder does.

--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -8,6 +8,8 @@
 
 /// Maximum size of a message. A longer one is a framing error.
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Memory of a message that the buffer may keep for the next one.
+const RETAINED_BYTES: usize = 64 << 10;
 /// Maximum number of digits of a chunk size (section 4.2).
 const MAX_CHUNK_SIZE_DIGITS: usize = 10;
 
@@ -92,10 +94,15 @@
 
     /// Returns the next message, or `None` if it is not complete yet.
     pub fn next_message(&mut self) -> Result<Option<Bytes>, FramingError> {
-        match self.framing {
+        let message = match self.framing {
             Framing::EndOfMessage => self.next_delimited(),
             Framing::Chunked => self.next_chunked(),
+        };
+        if matches!(&message, Ok(Some(message)) if message.len() > RETAINED_BYTES) {
+            // The bytes that follow would otherwise keep all memory of the message, also after it was dropped.
+            self.bytes = BytesMut::from(&self.bytes[..]);
         }
+        message
     }
 
     fn next_delimited(&mut self) -> Result<Option<Bytes>, FramingError> {
@@ -145,7 +152,7 @@
                 Some(ChunkHeader { length_bytes, chunk_bytes: None }) => {
                     _ = self.bytes.split_to(length_bytes);
                     self.has_chunk = false;
-                    return Ok(Some(self.message.split().freeze()));
+                    return Ok(Some(std::mem::take(&mut self.message).freeze()));
                 }
             }
         }
--- a/crates/manager/src/lib.rs
+++ b/crates/manager/src/lib.rs
@@ -26,7 +26,6 @@
 mod listening;
 mod listing;
 mod log_summary;
-mod long_lines;
 mod northbound;
 mod order_writer;
 mod probes;
@@ -44,6 +43,7 @@
 use std::time::Duration;
 
 use juniperrail_fleet::{Fleet, FleetConfig, FleetListener};
+use juniperrail_limits::{HoldLimits, LongMessageLimiter};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::LocalSet;
@@ -58,6 +58,10 @@
 /// Connections that hold a line of up to 1 MiB at a time. All others have a small buffer.
 const MAX_LONG_LINES: usize = 4;
 
+/// How long such a connection may take for its line while others wait.
+const LONG_LINE_LIMITS: HoldLimits =
+    HoldLimits { max_pause: Duration::from_millis(100), max_hold: Duration::from_secs(1) };
+
 /// Minimum listen backlog: that of tokio's own listeners.
 const MIN_BACKLOG: u32 = 1024;
 
@@ -155,7 +159,7 @@
             last_stream_id: Default::default(),
             open_count: Default::default(),
             max_open: budget.open,
-            long_lines: Rc::new(long_lines::LongLineLimiter::new(MAX_LONG_LINES)),
+            long_lines: LongMessageLimiter::new(MAX_LONG_LINES, LONG_LINE_LIMITS),
         });
         // Dropping the stop handle ends the northbound thread.
         let (northbound, _stop_northbound) = northbound.map(northbound::Northbound::start).unzip();
--- a/crates/manager/src/streams.rs
+++ b/crates/manager/src/streams.rs
@@ -5,9 +5,11 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniperrail_interface::ProxyId;
+use juniperrail_limits::{LongMessageLimiter, LongMessagePermit};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,7 +22,6 @@
 use crate::inbound::{Hello, Inbound, Outbox, StreamId};
 use crate::limiter::{ConnectionLimiter, KnownZones};
 use crate::line_buffer::{LineBuffer, SMALL_CAPACITY_BYTES};
-use crate::long_lines::{LongLineLimiter, LongLinePermit};
 use crate::protocol::{self, Message, ParseError};
 
 /// Messages queued for a proxy that reads slowly, in addition to what its socket buffers.
@@ -57,7 +58,7 @@
     /// Limit on open connections. The descriptors beyond it are reserved for the watch and the probes.
     pub max_open: usize,
     /// Limits the connections that hold a long line.
-    pub long_lines: Rc<LongLineLimiter>,
+    pub long_lines: Arc<LongMessageLimiter>,
 }
 
 /// Accepts connections forever. After a failed accept it pauses for `pause`.
@@ -315,9 +316,9 @@
 struct LineReader {
     read: OwnedReadHalf,
     buffer: LineBuffer,
-    long_lines: Rc<LongLineLimiter>,
+    long_lines: Arc<LongMessageLimiter>,
     /// Held while the buffer is larger than [`SMALL_CAPACITY_BYTES`].
-    permit: Option<LongLinePermit>,
+    permit: Option<LongMessagePermit>,
     /// Bytes of the unfinished line that [`protocol::check_unfinished_line`] has checked.
     checked_bytes: usize,
     /// Bytes read and bytes of lines returned since other tasks had their turn.
@@ -325,7 +326,7 @@
 }
 
 impl LineReader {
-    fn new(read: OwnedReadHalf, long_lines: Rc<LongLineLimiter>) -> LineReader {
+    fn new(read: OwnedReadHalf, long_lines: Arc<LongMessageLimiter>) -> LineReader {
         let buffer = LineBuffer::default();
         LineReader { read, buffer, long_lines, permit: None, checked_bytes: 0, bytes_in_turn: 0 }
     }
--- a/crates/manager/src/streams/tests.rs
+++ b/crates/manager/src/streams/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use juniperrail_limits::HoldLimits;
+
+const LIMITS: HoldLimits = HoldLimits { max_pause: Duration::ZERO, max_hold: Duration::ZERO };
 
 #[tokio::test]
 async fn panics_and_errors_end_only_their_own_connection_and_are_reported() {
@@ -16,7 +19,7 @@
         last_stream_id,
         open_count,
         max_open,
-        long_lines: Rc::new(LongLineLimiter::new(0)),
+        long_lines: LongMessageLimiter::new(0, LIMITS),
     });
     let peer_address = "127.0.0.1:1".parse().unwrap();
     let tasks = tokio::task::LocalSet::new();
--- a/crates/manager/tests/command_line.rs
+++ b/crates/manager/tests/command_line.rs
@@ -1,153 +1,15 @@
 //! The command line as an operator uses it: checking and writing files, and querying and changing a running manager
 //! over NETCONF, including exit codes and one-line errors.
 
+mod common;
+
 use std::fs;
 use std::io::{BufRead, BufReader, Read};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-
-use juniperrail_client::{Client, Commit, Datastore, Endpoint};
-use juniperrail_standins::{
-    address_from_log, instance_json, list_json, AnsweringProxy, Discovery, Peer, SshKeyPair, SETTINGS,
-};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperrail");
-
-/// Runs a command. Returns its exit code (-1 if a signal ended it), standard output and standard error.
-fn run_command(command: &mut Command) -> (i32, String, String) {
-    let Output { status, stdout, stderr } = command.output().unwrap();
-    let to_text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    (status.code().unwrap_or(-1), to_text(stdout), to_text(stderr))
-}
-
-/// A running manager with NETCONF over SSH, and its files in a directory of its own. Dropping it kills the manager and
-/// removes the files.
-struct TestManager {
-    directory: PathBuf,
-    _discovery: Discovery,
-    child: Child,
-    /// The address on which the manager serves proxies.
-    address: std::net::SocketAddr,
-    ssh_address: String,
-    host_keys: SshKeyPair,
-    ann_keys: SshKeyPair,
-    log: BufReader<std::process::ChildStderr>,
-}
-
-fn create_directory(name: &str) -> PathBuf {
-    let directory = std::env::temp_dir().join(format!("juniperrail-line-{name}-{}", std::process::id()));
-    fs::create_dir_all(&directory).unwrap();
-    directory
-}
-
-impl TestManager {
-    fn new(name: &str) -> TestManager {
-        TestManager::with_log_filter(name, "info")
-    }
+use std::process::{Command, Stdio};
 
-    /// Starts a manager whose log is filtered as `RUST_LOG` describes.
-    fn with_log_filter(name: &str, log_filter: &str) -> TestManager {
-        let directory = create_directory(name);
-        let (host_keys, ann_keys) =
-            (SshKeyPair::write(&directory, "host", 1), SshKeyPair::write(&directory, "ann", 2));
-        let discovery = Discovery::start();
-        let cached_list =
-            list_json(1, true, &["s-1", "s-2"].map(|id| instance_json(id, "a", "127.0.0.1:9", "ready")));
-        discovery.publish(&cached_list);
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964","known":{cached_list},
-            "settings":{SETTINGS}}}"#,
-            discovery.address
-        );
-        let operator_file = format!(
-            r#"<config xmlns="urn:ietf:params:xml:ns:netconf:base:1.0"><northbound
-            xmlns="tag:juniperrail.example,2026:yang:manager"><netconf><ssh><listen>127.0.0.1:0</listen>
-            <host-key>host</host-key></ssh></netconf><user><name>ann</name><role>admin</role>
-            <ssh-key>{}</ssh-key></user></northbound></config>"#,
-            ann_keys.public_key
-        );
-        fs::write(directory.join("config.json"), config).unwrap();
-        fs::write(directory.join("operator.xml"), operator_file).unwrap();
-        let mut command = Command::new(PROGRAM);
-        command.env_clear().env("PROXY_CONFIG", directory.join("config.json")).env("RUST_LOG", log_filter);
-        command.args(["--operator-file", directory.join("operator.xml").to_str().unwrap(), "--log", "json"]);
-        let mut manager = command.stderr(Stdio::piped()).spawn().unwrap();
-        let mut log = BufReader::new(manager.stderr.take().unwrap());
-        let mut line = String::new();
-        let (mut address, mut ssh_address) = (None, None);
-        while address.is_none() || ssh_address.is_none() {
-            line.clear();
-            assert!(log.read_line(&mut line).unwrap() > 0, "the manager ended before it served");
-            let event: serde_json::Value = serde_json::from_str(&line).unwrap();
-            let message = event["message"].as_str().unwrap();
-            address = address.or(message.split_once("serves on ").map(|(_, text)| text.parse().unwrap()));
-            ssh_address =
-                ssh_address.or(message.split_once("NETCONF over SSH on ").map(|(_, text)| text.to_string()));
-        }
-        let (address, ssh_address) = (address.unwrap(), ssh_address.unwrap());
-        TestManager {
-            directory,
-            _discovery: discovery,
-            child: manager,
-            address,
-            ssh_address,
-            host_keys,
-            ann_keys,
-            log,
-        }
-    }
-
-    /// Runs a subcommand over SSH as the user ann. Returns the same as [`run_command`].
-    fn run(&self, args: &[&str]) -> (i32, String, String) {
-        run_command(&mut self.command(args))
-    }
-
-    /// A subcommand over SSH as the user ann.
-    fn command(&self, args: &[&str]) -> Command {
-        let mut command = Command::new(PROGRAM);
-        let (subcommand, rest) = args.split_first().unwrap();
-        command.env_clear().arg(subcommand).args(["--ssh", &self.ssh_address, "--user", "ann"]);
-        command
-            .arg("--key")
-            .arg(&self.ann_keys.private_key_path)
-            .arg("--host-key")
-            .arg(&self.host_keys.public_key_path);
-        command.args(rest);
-        command
-    }
-
-    /// Reads the log until another session than `holder` requests a lock for the second time, after a denied request.
-    fn wait_for_denied_lock(&mut self, holder: u32) {
-        let mut requests = 0;
-        while requests < 2 {
-            let mut line = String::new();
-            assert!(self.log.read_line(&mut line).unwrap() > 0, "the manager ended");
-            let event: serde_json::Value = serde_json::from_str(&line).unwrap();
-            let is_other = event["session"].as_u64().is_some_and(|session| session != u64::from(holder));
-            requests += usize::from(is_other && event["operation"] == "lock");
-            assert!(!line.contains(" ended: "), "a session ended before it requested the lock twice: {line}");
-        }
-    }
-
-    /// Writes an operator file whose element `workers` contains `body`, and returns the file's path.
-    fn write_change_file(&self, body: &str) -> String {
-        let path = self.directory.join("change.xml");
-        let text = format!(
-            "<config xmlns=\"urn:ietf:params:xml:ns:netconf:base:1.0\">\
-             <workers xmlns=\"tag:juniperrail.example,2026:yang:manager\">{body}</workers></config>"
-        );
-        fs::write(&path, text).unwrap();
-        path.to_str().unwrap().to_string()
-    }
-}
-
-impl Drop for TestManager {
-    fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
-        _ = fs::remove_dir_all(&self.directory);
-    }
-}
+use common::netconf_manager::{create_directory, run_command, TestManager, PROGRAM};
+use juniperrail_client::{Client, Commit, Datastore};
+use juniperrail_standins::{address_from_log, instance_json, list_json, AnsweringProxy, Peer, SETTINGS};
 
 #[test]
 fn running_manager_is_queried_and_changed() {
@@ -229,9 +91,7 @@
     let drain_file = manager.write_change_file("<worker><name>s-1</name><wanted>draining</wanted></worker>");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let endpoint = Endpoint::ssh(&manager.ssh_address, "ann", &manager.ann_keys.private_key_path)
-            .with_host_key(&manager.host_keys.public_key_path);
-        let mut holder = Client::connect(&endpoint).await.unwrap();
+        let mut holder = Client::connect(&manager.ssh_endpoint()).await.unwrap();
         holder.lock(Datastore::Candidate).await.unwrap();
         let child = manager.command(&["config", "edit", &drain_file]).spawn().unwrap();
         manager.wait_for_denied_lock(holder.session_id);
--- a/crates/manager/tests/common/mod.rs
+++ b/crates/manager/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)] // Each test file uses a part of this module.
 
+pub mod netconf_manager;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -89,6 +91,13 @@
     Discovery::accept_watch(discovery, status)
 }
 
+/// The memory of a process that no file backs.
+pub fn resident_anonymous_bytes(process: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+}
+
 /// A manager in a process of its own. Dropping it kills the process and removes its configuration file.
 pub struct ManagerProcess {
     pub child: Child,
--- a/crates/manager/tests/overload.rs
+++ b/crates/manager/tests/overload.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{config, ManagerProcess};
+use common::{config, resident_anonymous_bytes, ManagerProcess};
 use juniperrail_standins::Peer;
 
 /// The smallest memory limit of a manager in production.
@@ -27,13 +27,6 @@
     ManagerProcess::start(name, &config)
 }
 
-/// The memory of a process that no file backs.
-fn anonymous_bytes(manager: &ManagerProcess) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", manager.child.id())).unwrap();
-    let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
-}
-
 /// The start of a valid report, with an unknown field of this length and without the end of the line.
 fn unfinished_line(bytes: usize) -> String {
     format!("demand node=0 route=lookup total=1 errors=0 interval=1000 padding={}", "x".repeat(bytes))
@@ -70,7 +63,7 @@
         // Fails where the manager has already closed the connection.
         _ = proxy.try_send_raw(&line);
         stalled.push(proxy);
-        peak = peak.max(anonymous_bytes(&manager));
+        peak = peak.max(resident_anonymous_bytes(&manager.child));
         if number % 100 == 99 {
             // A proxy that finishes its long line is served meanwhile.
             prompt.send_line(&unfinished_line(LONG_LINE_BYTES));
@@ -80,7 +73,7 @@
     // The manager may still have to read what the kernel holds.
     for _ in 0..SAMPLES {
         thread::sleep(SAMPLE_INTERVAL);
-        peak = peak.max(anonymous_bytes(&manager));
+        peak = peak.max(resident_anonymous_bytes(&manager.child));
     }
     assert!(peak < MEMORY_LIMIT_BYTES, "{peak} bytes with {} unfinished lines", stalled.len());
 }
@@ -97,7 +90,7 @@
         probe(&mut proxy);
         proxies.push(proxy);
     }
-    let bytes = anonymous_bytes(&manager);
+    let bytes = resident_anonymous_bytes(&manager.child);
     assert!(bytes < MEMORY_LIMIT_BYTES, "{bytes} bytes after {PROXIES} long lines");
     proxies.iter_mut().for_each(probe);
 }
--- a/crates/model/src/xml.rs
+++ b/crates/model/src/xml.rs
@@ -95,6 +95,11 @@
             .map(|attribute| &*attribute.value)
     }
 
+    /// The element with its attributes and declarations, but without its children.
+    fn node_count(&self) -> usize {
+        1 + self.attributes.len() + self.prefixes.len()
+    }
+
     /// The text without leading and trailing white space.
     pub fn trimmed_text(&self) -> &str {
         self.text.trim()
@@ -117,6 +122,12 @@
 
 /// Parses a document and returns its root element. The caller limits the size of the text.
 pub fn parse(text: &[u8]) -> Result<Element, XmlError> {
+    parse_limited(text, usize::MAX)
+}
+
+/// Like [`parse`], for a document with at most `max_nodes` elements and attributes: each takes many times the memory of
+/// the shortest text for it.
+pub fn parse_limited(text: &[u8], max_nodes: usize) -> Result<Element, XmlError> {
     let text = std::str::from_utf8(text).map_err(|cause| {
         let line = 1 + text[..cause.valid_up_to()].iter().filter(|byte| **byte == b'\n').count() as u32;
         XmlError { line, message: "the text is not UTF-8".into() }
@@ -127,7 +138,12 @@
     let (mut counted_to, mut line) = (0, 1);
     let mut open_elements: Vec<Element> = Vec::new();
     let mut namespaces: HashMap<String, Arc<str>> = HashMap::new();
+    let mut nodes = 0;
     loop {
+        if nodes > max_nodes {
+            let message = format!("the text has more than {max_nodes} elements and attributes");
+            return Err(XmlError { line, message });
+        }
         let start = (reader.buffer_position() as usize).min(text.len());
         line += text.as_bytes()[counted_to..start].iter().filter(|byte| **byte == b'\n').count() as u32;
         counted_to = start;
@@ -138,10 +154,13 @@
                 if open_elements.len() >= MAX_DEPTH {
                     return Err(malformed(format!("elements are nested more than {MAX_DEPTH} levels deep")));
                 }
-                open_elements.push(parse_tag(&reader, &tag, line, &mut namespaces).map_err(malformed)?);
+                let element = parse_tag(&reader, &tag, line, &mut namespaces).map_err(malformed)?;
+                nodes += element.node_count();
+                open_elements.push(element);
             }
             Event::Empty(tag) => {
                 let element = parse_tag(&reader, &tag, line, &mut namespaces).map_err(malformed)?;
+                nodes += element.node_count();
                 match open_elements.last_mut() {
                     Some(parent) => parent.children.push(element),
                     None => return check_end(&mut reader, line).map(|()| element),
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -343,3 +343,11 @@
     }
     std::fs::remove_dir_all(&directory).unwrap();
 }
+
+#[test]
+fn a_document_with_more_elements_and_attributes_than_allowed_is_rejected() {
+    let text = "<a x='1' xmlns='urn:a'><b/><c>text</c></a>";
+    assert!(xml::parse_limited(text.as_bytes(), 5).is_ok());
+    let error = xml::parse_limited(text.as_bytes(), 4).unwrap_err();
+    assert_eq!(error.message, "the text has more than 4 elements and attributes");
+}
--- a/crates/netconf/src/service.rs
+++ b/crates/netconf/src/service.rs
@@ -3,11 +3,14 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use juniperrail_intent::{Commit, Datastore, DatastoreError, DefaultOperation, ErrorOption, Session};
+use juniperrail_limits::{HoldLimits, LongMessageLimiter};
 use juniperrail_model::xml::{self, Element, NETCONF_NAMESPACE};
 use juniperrail_model::{Data, NodeKind, Path, Schema};
 use juniperrail_northbound::{Caller, DatastoreManager, Source, TestOption};
+use tokio::sync::Semaphore;
 
 use crate::capabilities::{
     self, MONITORING_NAMESPACE, NMDA_NAMESPACE, NOTIFICATION_NAMESPACE, WITH_DEFAULTS_NAMESPACE,
@@ -15,6 +18,21 @@
 };
 use crate::error::{from_datastore_error, ErrorType, RpcError};
 use crate::filter;
+use crate::session::LONG_MESSAGE_BYTES;
+
+/// Elements and attributes that a message may have. The most workers that a change may name, with all their leaves, are
+/// less than half of it.
+pub const MAX_MESSAGE_NODES: usize = 65_536;
+
+/// Clients that send a long message at a time, of at most [`juniperrail_framing::MAX_MESSAGE_BYTES`] each.
+const MAX_LONG_MESSAGES: usize = 2;
+
+/// How long such a client may take for its message while others wait.
+const LONG_MESSAGE_LIMITS: HoldLimits =
+    HoldLimits { max_pause: Duration::from_secs(1), max_hold: Duration::from_secs(10) };
+
+/// Requests that are held as a tree of elements at a time, if all are short.
+const MAX_CONCURRENT_REQUESTS: usize = 4;
 
 /// State that all sessions of the server share.
 pub struct ServerContext {
@@ -23,6 +41,10 @@
     pub capabilities: Vec<String>,
     /// The prefixes of the YANG modules and their namespaces.
     pub prefixes: Vec<(String, String)>,
+    /// Limits the clients that send a long message.
+    pub long_messages: Arc<LongMessageLimiter>,
+    /// Limits the requests that are executed at a time, since each is held as a tree of elements meanwhile.
+    requests: Semaphore,
     /// The key names of lists, by namespace and name of the list.
     list_keys: HashMap<(String, String), Vec<String>>,
 }
@@ -49,7 +71,9 @@
         let capabilities = capabilities::capabilities(&schema);
         let prefixes =
             schema.modules.iter().map(|module| (module.prefix.clone(), module.namespace.clone())).collect();
-        ServerContext { datastore_manager, capabilities, prefixes, list_keys }
+        let long_messages = LongMessageLimiter::new(MAX_LONG_MESSAGES, LONG_MESSAGE_LIMITS);
+        let requests = Semaphore::new(MAX_CONCURRENT_REQUESTS);
+        ServerContext { datastore_manager, capabilities, prefixes, long_messages, requests, list_keys }
     }
 
     /// The key names of a list entry; empty for other elements.
@@ -179,10 +203,13 @@
 
 impl RpcHandler {
     /// Executes the operation of one message and returns the reply. The reply repeats all attributes of the `rpc`
-    /// (RFC 6241 section 4.1).
+    /// (RFC 6241 section 4.1). A long message is executed while no other one is.
     pub async fn reply(&self, message: &[u8]) -> (String, SessionAction) {
+        let permits = if message.len() > LONG_MESSAGE_BYTES { MAX_CONCURRENT_REQUESTS } else { 1 };
+        // The semaphore is never closed.
+        let _permits = self.context.requests.acquire_many(permits as u32).await.ok();
         let reply = Element::new(NETCONF_NAMESPACE, "rpc-reply");
-        let rpc = match xml::parse(message) {
+        let rpc = match xml::parse_limited(message, MAX_MESSAGE_NODES) {
             Ok(rpc) => rpc,
             Err(parse_error) => {
                 let message = format!("line {} of the message: {}", parse_error.line, parse_error.message);
--- a/crates/netconf/src/session.rs
+++ b/crates/netconf/src/session.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use juniperrail_framing::{delimiters, Decoder, Framing};
+use juniperrail_limits::{LongMessageLimiter, LongMessagePermit};
 use juniperrail_model::xml::{self, Element, NETCONF_NAMESPACE};
 use juniperrail_northbound::{Caller, Notification, TerminationReason};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -14,13 +15,16 @@
 
 use crate::capabilities::{BASE_1_0, BASE_1_1};
 use crate::notification;
-use crate::service::{RpcHandler, ServerContext, SessionAction};
+use crate::service::{RpcHandler, ServerContext, SessionAction, MAX_MESSAGE_NODES};
 
 /// Size of the buffer for reads from the stream.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 /// A client that does not read a message within this time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A message of more bytes needs one of the permits of [`ServerContext::long_messages`].
+pub const LONG_MESSAGE_BYTES: usize = 64 << 10;
+
 /// Time limits of a session.
 #[derive(Clone, Copy, Debug)]
 pub struct SessionTimeouts {
@@ -35,6 +39,9 @@
     stream: S,
     decoder: Decoder,
     framing: Framing,
+    long_messages: Arc<LongMessageLimiter>,
+    /// Held from the time when a message proves to be long until it is handled.
+    permit: Option<LongMessagePermit>,
 }
 
 /// Why messages can no longer be exchanged with the client.
@@ -42,6 +49,8 @@
     Closed,
     BadFraming(String),
     WriteTimeout,
+    /// The client sends a long message slowly while other clients wait to send theirs.
+    TooSlow,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Peer<S> {
@@ -54,13 +63,30 @@
             {
                 return Ok(message);
             }
-            match self.stream.read(&mut buffer).await {
+            if self.permit.is_none() && self.decoder.buffered_bytes() > LONG_MESSAGE_BYTES {
+                self.permit = Some(self.long_messages.clone().acquire().await);
+            }
+            match self.read_bytes(&mut buffer).await? {
                 Ok(0) | Err(_) => return Err(StreamError::Closed),
                 Ok(read_bytes) => self.decoder.push(&buffer[..read_bytes]),
             }
         }
     }
 
+    /// Reads once. Fails if the client has a permit for a long message and keeps others waiting for too long.
+    async fn read_bytes(&mut self, buffer: &mut [u8]) -> Result<std::io::Result<usize>, StreamError> {
+        let Some(permit) = &mut self.permit else { return Ok(self.stream.read(buffer).await) };
+        let read = tokio::select! {
+            biased;
+            read = self.stream.read(buffer) => read,
+            () = permit.stalled() => return Err(StreamError::TooSlow),
+        };
+        match permit.record_read() {
+            true => Ok(read),
+            false => Err(StreamError::TooSlow),
+        }
+    }
+
     /// Writes one message with its framing.
     async fn write(&mut self, message: &str) -> Result<(), StreamError> {
         let (header, trailer) = delimiters(self.framing, message.len());
@@ -91,7 +117,7 @@
 /// The framing that follows from the client's hello: chunked if it lists base:1.1, as the server's does. The error is
 /// the reason why the hello is rejected.
 fn negotiate_framing(message: &[u8]) -> Result<Framing, String> {
-    let hello = xml::parse(message).map_err(|error| error.message)?;
+    let hello = xml::parse_limited(message, MAX_MESSAGE_NODES).map_err(|error| error.message)?;
     if !hello.is(NETCONF_NAMESPACE, "hello") {
         return Err(format!("expected <hello>, got <{:.60}>", hello.name));
     }
@@ -126,7 +152,9 @@
         tracing::warn!("{user:?} from {client_origin} is not a configured user");
         return;
     };
-    let peer = Peer { stream, decoder: Decoder::default(), framing: Framing::EndOfMessage };
+    let (decoder, framing) = (Decoder::default(), Framing::EndOfMessage);
+    let long_messages = context.long_messages.clone();
+    let peer = Peer { stream, decoder, framing, long_messages, permit: None };
     // The guard closes the session in the datastore manager also if this future is dropped because the transport ended.
     let guard = SessionGuard { context: context.clone(), caller: Some(caller.clone()) };
     let reason = run_session(peer, context, &caller, &kill_signal, timeouts).await;
@@ -243,6 +271,10 @@
                 );
                 return TerminationReason::Dropped;
             }
+            Some(Err(StreamError::TooSlow)) => {
+                tracing::info!("session {} kept others waiting with a long message", caller.session.0);
+                return TerminationReason::TimedOut;
+            }
             Some(Err(_)) => return TerminationReason::Dropped,
         };
         last_message_at = Instant::now();
@@ -250,6 +282,8 @@
         // notification after the reply is missed.
         let notifications = (!handler.subscribed).then(|| handler.context.datastore_manager.subscribe());
         let (reply, action) = handler.reply(&message).await;
+        drop(message);
+        peer.permit = None;
         if peer.write(&reply).await.is_err() {
             return TerminationReason::Dropped;
         }
--- a/crates/netconf/src/ssh.rs
+++ b/crates/netconf/src/ssh.rs
@@ -17,7 +17,7 @@
 use crate::session::SessionTimeouts;
 
 /// The SSH channel window: the bytes that a client may send before the server has read them.
-const WINDOW_BYTES: u32 = 256 << 10;
+const WINDOW_BYTES: u32 = 64 << 10;
 /// Minimum interval between keepalive messages.
 const MIN_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
 /// Limits the wait for the end of a connection after the server has sent a disconnect message.
