Probes: the buffer for a worker's response head is 16 KiB

Change: max_buf_size of 16 KiB for responses of workers and of discovery; bodies were limited already (4 KiB for a probe), and a head longer than this ends the exchange as an error.

--- a/crates/manager/src/http.rs
+++ b/crates/manager/src/http.rs
@@ -15,6 +15,9 @@
 
 use crate::connection_error::{ConnectionError, Stage};
 
+/// Maximum size of the buffer for a response: of its head, and of what is read of its body at once.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// The address to connect to, and the path with its query.
 pub type Call = (SocketAddr, String);
 
@@ -41,7 +44,9 @@
 }
 
 async fn send_request(socket: TcpStream, (address, path): Call) -> Result<Response<Incoming>, BoxError> {
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
+    let mut client = hyper::client::conn::http1::Builder::new();
+    client.max_buf_size(MAX_BUFFER_BYTES);
+    let (mut sender, connection) = client.handshake(TokioIo::new(socket)).await?;
     // The task ends when the response's body ends or is dropped; its errors reach the reader of the body.
     tokio::spawn(connection);
     let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::<Bytes>::new())?;
