Relay: long request heads of all connections share the memory of sixteen

Seen: 1,000 connections that stop within a head of 125 KB take a relay from 5 to 137 MB (113 MB with a query of 60 KB).

Cause: a head may have 128 KiB, since a scope may name thousands of services, and each connection had a buffer of its own for it.

Change: a head beyond 8 KiB needs one of 16 permits until it is complete (crates/relay/src/head_limit.rs, with the permits of crates/limits). Short heads never wait.

The new test in crates/manager/tests/relay.rs fails on (70,156,288 bytes, 32,000,000 allowed) and passes now.

--- a/crates/manager/tests/relay.rs
+++ b/crates/manager/tests/relay.rs
@@ -1,12 +1,15 @@
 //! The `relay` command as a process: its log, its errors, and what a subscriber receives when the relay is paused or
 //! killed.
 
+mod common;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::thread;
 use std::time::Duration;
 
+use common::resident_anonymous_bytes;
 use juniperrail_standins::{instance_json, list_json, BodyEnd, Discovery, ListSubscriber, Peer};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_juniperrail");
@@ -112,3 +115,29 @@
     assert!(stderr.starts_with(&format!("juniperrail: cannot listen on {address}: ")), "{stderr}");
     assert_eq!(stderr.lines().count(), 1, "{stderr}");
 }
+
+/// Guards against a relay that is killed for its memory because hundreds of subscribers stop within a long request head.
+#[test]
+fn unfinished_long_request_heads_take_bounded_memory() {
+    const CONNECTIONS: usize = 500;
+    const MEMORY_LIMIT_BYTES: u64 = 32_000_000;
+    let discovery = Discovery::start();
+    discovery.publish(&list_json(1, true, &[instance_json("s-1", "a", "127.0.0.1:9", "ready")]));
+    let relay = Relay::start(discovery.address);
+    relay.wait_until_serving();
+    let head = format!("GET /healthz HTTP/1.1\r\nHost: relay\r\nX-Long: {}", "x".repeat(120_000));
+    let mut connections: Vec<Peer> = Vec::new();
+    let mut peak = 0;
+    for _ in 0..CONNECTIONS {
+        let mut connection = Peer::connect(relay.address);
+        connection.send_raw(&head);
+        connections.push(connection);
+        peak = peak.max(resident_anonymous_bytes(&relay.child));
+    }
+    // Answered while the heads are unfinished, and only after what came before was read.
+    for _ in 0..20 {
+        relay.wait_until_serving();
+        peak = peak.max(resident_anonymous_bytes(&relay.child));
+    }
+    assert!(peak < MEMORY_LIMIT_BYTES, "{peak} bytes with {} unfinished heads", connections.len());
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! The list is stored once, on one thread; the decisions about it are made in `juniperrail_distribution`. A relay that
 //! has lost its source sends nothing rather than an old list: it ends its watches and refuses new ones.
 
+mod head_limit;
 mod log_limit;
 mod options;
 mod requests;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,20 +1,23 @@
 //! The relay's listener and the connections of subscribers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use juniperrail_limits::{HoldLimits, LongMessageLimiter};
 use rustix::process::{getrlimit, Resource};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
+use crate::head_limit::{Head, HeadLimitedSocket};
 use crate::log_limit::LogLimit;
 use crate::options::Options;
 use crate::requests::respond;
@@ -32,6 +35,8 @@
 const SEND_BUFFER_BYTES: u32 = 128 << 10;
 /// Maximum size of the buffer for the request on one connection, and of that for the response.
 const CONNECTION_BUFFER_BYTES: usize = 128 << 10;
+/// Connections that receive a long request head at a time.
+const MAX_LONG_HEADS: usize = 16;
 /// The wait after a failed accept, for instance because of too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -94,14 +99,18 @@
 async fn accept(listener: &TcpListener, shared: &Rc<Shared>) {
     let max_connections = shared.options.limits.subscribers.saturating_add(SPARE_CONNECTIONS);
     let open_count = Rc::new(Cell::new(0));
+    let head_timeout = shared.options.timing.request_head_timeout;
+    let limits = HoldLimits { max_pause: head_timeout, max_hold: head_timeout };
+    let long_heads = LongMessageLimiter::new(MAX_LONG_HEADS, limits);
     let (failure_log, refusal_log) = (LogLimit::default(), LogLimit::default());
     loop {
         match listener.accept().await {
             Ok((socket, _)) if open_count.get() < max_connections => {
                 open_count.set(open_count.get() + 1);
                 let (shared, open_count) = (shared.clone(), open_count.clone());
+                let long_heads = long_heads.clone();
                 spawn_local(async move {
-                    serve_connection(socket, shared).await;
+                    serve_connection(socket, shared, long_heads).await;
                     open_count.set(open_count.get() - 1);
                 });
             }
@@ -126,14 +135,18 @@
 }
 
 /// Serves one connection, which is for one request.
-async fn serve_connection(socket: TcpStream, shared: Rc<Shared>) {
+async fn serve_connection(socket: TcpStream, shared: Rc<Shared>, long_heads: Arc<LongMessageLimiter>) {
     let timing = shared.options.timing;
     _ = socket.set_nodelay(true);
     // Ends the connection of a subscriber that has stopped reading or whose machine has vanished, even if the kernel's
     // buffer takes all that is written, so that no write ever waits.
     _ = SockRef::from(&socket).set_tcp_user_timeout(Some(timing.stalled_write_timeout));
-    let socket = TokioIo::new(socket);
-    let service = service_fn(|request| respond(shared.clone(), request));
+    let head = Rc::<RefCell<Head>>::default();
+    let socket = TokioIo::new(HeadLimitedSocket::new(socket, long_heads, head.clone()));
+    let service = service_fn(|request| {
+        head.borrow_mut().complete();
+        respond(shared.clone(), request)
+    });
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(timing.request_head_timeout);
     server.keep_alive(false).max_buf_size(CONNECTION_BUFFER_BYTES);
