Known red: each list with an unreadable entry writes a log line, without a limit

Cause: Listing::entries warns once for each list, with no limit on the rate. No product code in this commit.

--- a/crates/manager/tests/overload.rs
+++ b/crates/manager/tests/overload.rs
@@ -3,12 +3,14 @@
 
 mod common;
 
+use std::io::BufRead;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{config, resident_anonymous_bytes, ManagerProcess};
-use juniperrail_standins::Peer;
+use common::{accept_watch, config, entry, resident_anonymous_bytes, ManagerProcess};
+use juniperrail_standins::{list_json, Peer};
 
 /// The smallest memory limit of a manager in production.
 const MEMORY_LIMIT_BYTES: u64 = 32_000_000;
@@ -139,3 +141,26 @@
     let limit = line_duration * u32::from(FLOODING_PROXIES);
     assert!(probe_duration < limit, "{probe_duration:?}, {line_duration:?} for one line alone");
 }
+
+/// Guards against a log that grows with every list in which an entry cannot be read. In KNOWN-RED.txt.
+#[test]
+fn a_burst_of_lists_with_unreadable_entries_does_not_flood_the_log() {
+    const LISTS: usize = 2_000;
+    const MAX_LINES: usize = LISTS / 20;
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut manager = ManagerProcess::start("log-flood", &config(discovery.local_addr().unwrap(), 256));
+    let (_, mut watch) = accept_watch(&discovery, "200 OK");
+    let lists = (0..LISTS).map(|list| list_json(42 + list as u64, false, &[entry("s-1", "unknown")]) + "\n");
+    watch.send_chunk(&lists.collect::<String>());
+    // The last list is valid, and proxies see what it changes.
+    watch.send_chunk(&(list_json(42 + LISTS as u64, false, &[entry("s-2", "draining")]) + "\n"));
+    let mut proxy = Peer::connect_as_proxy(manager.address, 1);
+    let log = manager.log.take().unwrap();
+    let reader = thread::spawn(move || {
+        log.lines().map_while(Result::ok).filter(|line| line.contains("cannot be read")).count()
+    });
+    while !proxy.next_line().expect("the stream stays open").contains("out=s-2") {}
+    manager.signal("TERM");
+    let lines = reader.join().unwrap();
+    assert!(lines <= MAX_LINES, "{lines} log lines for {LISTS} lists");
+}
