Log: lists and their unreadable entries write bounded lines

Cause: Listing::entries and WorkerRegistry::apply_list logged by themselves, outside the summaries of the decider. Lists older than the current one, and lists without a worker in scope, had the same fault where they alternate with others.

Change: the registry returns what it applied and skipped; the decider logs the first of a report period at once and counts the others into one line. Details that peers choose are cut at 1 KiB. LogLimit moved from the relay to crates/limits and bounds the two other lines.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,6 +1,8 @@
-//! Limits how many connections hold a long message in memory at a time. The others wait, with their bytes in the
+//! Limits on what peers cost: how many connections hold a long message in memory at a time. The others wait, with their bytes in the
 //! kernel's buffers. A connection that keeps others waiting has to receive its message without long pauses.
 
+mod log_limit;
+
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +10,8 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, Instant};
 
+pub use log_limit::LogLimit;
+
 /// How long a connection may take for a long message while others wait.
 #[derive(Clone, Copy, Debug)]
 pub struct HoldLimits {
--- a/crates/relay/src/log_limit.rs
+++ b/crates/limits/src/log_limit.rs
@@ -5,11 +5,12 @@
 
 use tokio::time::Instant;
 
+/// Minimum time between two lines about one kind of event.
 const MIN_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Limits the log lines about one kind of event.
 #[derive(Debug, Default)]
-pub(crate) struct LogLimit {
+pub struct LogLimit {
     suppressed_until: Cell<Option<Instant>>,
     suppressed_count: Cell<usize>,
 }
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -26,10 +26,11 @@
 use crate::inbound::Inbound;
 use crate::launch::Launch;
 use crate::limiter::KnownZones;
+use crate::listing::Listing;
 use crate::log_summary::LogSummary;
 use crate::order_writer::OrderWriter;
 use crate::probes::{ProbeResult, ProbeService};
-use crate::worker_registry::WorkerRegistry;
+use crate::worker_registry::{AppliedList, WorkerRegistry};
 
 /// The longest sleep without an event.
 const MAX_SLEEP_MS: Ms = 3_600_000.0;
@@ -145,8 +146,7 @@
             fleet: None,
         };
         let cached_list = launch.cached_list.unwrap_or_default();
-        let event = decider.registry.apply_list(&cached_list, ListKind::Remembered, &mut decider.names);
-        decider.apply_list(event);
+        decider.receive_list(&cached_list, ListKind::Remembered);
         let intent = launch.operator_config.map(|config| config.intent).unwrap_or_default();
         // The cached list may be stale, so refusals are only logged; the planner handles a missing worker like any
         // other loss of a worker.
@@ -218,8 +218,7 @@
         match inbound {
             Inbound::Listing(listing) => {
                 let kind = if listing.full { ListKind::Full } else { ListKind::Changes };
-                let event = self.registry.apply_list(&listing, kind, &mut self.names);
-                self.apply_list(event);
+                self.receive_list(&listing, kind);
             }
             Inbound::Joined { stream, hello, outbox } => self.handle_join(stream, hello, outbox),
             Inbound::Ended(stream, error) => {
@@ -241,6 +240,20 @@
         }
     }
 
+    /// Applies a list from discovery from the next turn on.
+    fn receive_list(&mut self, listing: &Listing, kind: ListKind) {
+        let AppliedList { event, summary, skipped } =
+            self.registry.apply_list(listing, kind, &mut self.names);
+        if let Some(summary) = self.log_summary.lists.record(summary) {
+            tracing::info!("{summary}");
+        }
+        if let Some(skipped) = skipped.and_then(|skipped| self.log_summary.unreadable_entries.record(skipped))
+        {
+            tracing::warn!("{skipped}");
+        }
+        self.apply_list(event);
+    }
+
     /// Applies a worker list, or changes to it, from the next turn on.
     fn apply_list(&mut self, event: Event) {
         if let Event::List { workers, .. } = &event {
--- a/crates/manager/src/discovery.rs
+++ b/crates/manager/src/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::StatusCode;
 use juniperrail_distribution::{ListLimits, RelayFailure, Round};
+use juniperrail_limits::LogLimit;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep, timeout_at, Instant};
 use tower::ServiceExt;
@@ -103,6 +104,8 @@
             behind: Behind::default(),
             session: Session::new(),
             warned_empty: false,
+            empty_log: LogLimit::default(),
+            older_log: LogLimit::default(),
         };
         let rng = fastrand::Rng::with_seed(launch.seed);
         Watch { upstream, follower, failures: 0, too_large_count: 0, rng }
@@ -241,6 +244,8 @@
     session: Session,
     /// The warning that no worker is in scope has been logged.
     warned_empty: bool,
+    empty_log: LogLimit,
+    older_log: LogLimit,
 }
 
 impl Follower {
@@ -334,7 +339,7 @@
         if let Some(filter) = &mut self.filter {
             filter.discard();
         }
-        if !self.behind.received_older {
+        if !self.behind.received_older && self.older_log.admit().is_some() {
             tracing::warn!("list {version} is older than the current list {current}: it is skipped");
         }
         self.behind.received_older = true;
@@ -366,7 +371,8 @@
     /// Warns that no worker is in scope, and does not repeat the warning until a worker has been in scope.
     fn warn_if_empty(&mut self, version: u64) {
         let Some(filter) = &self.filter else { return };
-        if filter.is_empty() && !std::mem::replace(&mut self.warned_empty, true) {
+        let is_news = filter.is_empty() && !std::mem::replace(&mut self.warned_empty, true);
+        if is_news && self.empty_log.admit().is_some() {
             let scope = filter.scope().to_query();
             let scope = scope.trim_start_matches('&');
             tracing::warn!("list {version} has no worker of this manager's scope: {scope}");
--- a/crates/manager/src/listing.rs
+++ b/crates/manager/src/listing.rs
@@ -78,6 +78,8 @@
     pub valid: Vec<ReadEntry>,
     /// For each entry that cannot be parsed, the name of its worker if at least that can be.
     pub unreadable: Vec<Option<String>>,
+    /// Why the last of these cannot be parsed.
+    pub last_error: Option<String>,
 }
 
 /// The worker of an entry that cannot be parsed in full.
@@ -88,10 +90,10 @@
 }
 
 impl Listing {
-    /// Parses the entries. Those that cannot be parsed are skipped, with one log line.
+    /// Parses the entries. Those that cannot be parsed are skipped.
     pub fn entries(&self, names: &mut Names) -> Entries {
-        let mut entries = Entries { valid: Vec::with_capacity(self.instances.len()), unreadable: Vec::new() };
-        let mut last_error = None;
+        let valid = Vec::with_capacity(self.instances.len());
+        let mut entries = Entries { valid, unreadable: Vec::new(), last_error: None };
         for instance in &self.instances {
             let raw = match instance {
                 Instance::Entry(raw) => raw.get(),
@@ -106,17 +108,10 @@
                     entries
                         .unreadable
                         .push(serde_json::from_str(raw).ok().map(|Identity { instance_id }| instance_id));
-                    last_error = Some(error);
+                    entries.last_error = Some(error);
                 }
             }
         }
-        if let Some(last) = last_error {
-            let skipped = entries.unreadable.len();
-            tracing::warn!(
-                "list {}: {skipped} entries cannot be read and are skipped, the last: {last}",
-                self.version
-            );
-        }
         entries
     }
 }
--- a/crates/manager/src/log_summary.rs
+++ b/crates/manager/src/log_summary.rs
@@ -2,6 +2,9 @@
 
 use juniperrail_interface::Ms;
 
+/// Limit on the details of one occurrence in the log. Peers choose a part of them.
+const MAX_DETAILS_BYTES: usize = 1024;
+
 /// Counts the occurrences of an event.
 #[derive(Default)]
 pub struct EventCount {
@@ -13,7 +16,35 @@
 impl EventCount {
     /// Counts one occurrence.
     pub fn record(&mut self, details: String) {
-        (self.count, self.last) = (self.count + 1, details);
+        (self.count, self.last) = (self.count + 1, abbreviated(details));
+    }
+}
+
+/// Cuts details that exceed [`MAX_DETAILS_BYTES`].
+fn abbreviated(mut details: String) -> String {
+    if details.len() > MAX_DETAILS_BYTES {
+        let end = details.floor_char_boundary(MAX_DETAILS_BYTES);
+        details.replace_range(end.., "...");
+    }
+    details
+}
+
+/// An event of which the first occurrence since the last summary is logged at once, and further ones are counted.
+#[derive(Default)]
+pub struct FirstLogged {
+    first_is_logged: bool,
+    further: EventCount,
+}
+
+impl FirstLogged {
+    /// Records one occurrence. Returns the details if they have to be logged now.
+    #[must_use]
+    pub fn record(&mut self, details: String) -> Option<String> {
+        if std::mem::replace(&mut self.first_is_logged, true) {
+            self.further.record(details);
+            return None;
+        }
+        Some(abbreviated(details))
     }
 }
 
@@ -33,6 +64,10 @@
     pub ignored_lines: EventCount,
     /// Connections that were rejected before they joined.
     pub rejected_connections: EventCount,
+    /// Lists of workers that were applied.
+    pub lists: FirstLogged,
+    /// Lists with entries that could not be parsed.
+    pub unreadable_entries: FirstLogged,
     /// When the last summary was logged.
     pub logged_at: Ms,
 }
@@ -68,5 +103,13 @@
         if rejected > 0 {
             tracing::warn!("{rejected} connections rejected before joining, the last: {last}");
         }
+        let EventCount { count: lists, last } = summary.lists.further;
+        if lists > 0 {
+            tracing::info!("{lists} more lists applied, the last: {last}");
+        }
+        let EventCount { count: lists, last } = summary.unreadable_entries.further;
+        if lists > 0 {
+            tracing::warn!("{lists} more lists with entries that cannot be read, the last: {last}");
+        }
     }
 }
--- a/crates/manager/src/worker_registry.rs
+++ b/crates/manager/src/worker_registry.rs
@@ -21,15 +21,30 @@
     pub version: u64,
 }
 
+/// A list from discovery that the registry has applied.
+pub struct AppliedList {
+    /// The event for the planner.
+    pub event: Event,
+    /// What was applied, for the log.
+    pub summary: String,
+    /// How many entries were skipped because they cannot be parsed and why, for the log; `None` if there are none.
+    pub skipped: Option<String>,
+}
+
 impl WorkerRegistry {
-    /// Applies a list from discovery. Returns the event for the planner.
-    pub fn apply_list(&mut self, listing: &Listing, kind: ListKind, names: &mut Names) -> Event {
-        let Entries { valid: entries, unreadable } = listing.entries(names);
+    /// Applies a list from discovery.
+    pub fn apply_list(&mut self, listing: &Listing, kind: ListKind, names: &mut Names) -> AppliedList {
+        let Entries { valid: entries, unreadable, last_error } = listing.entries(names);
         // If an entry is so damaged that even the worker's name cannot be read, a full list is applied as changes.
         // Applied as a full list, it would mark that worker as gone.
         let kind = if unreadable.iter().all(Option::is_some) { kind } else { ListKind::Changes };
-        tracing::info!("list {}: {} entries, {kind:?}", listing.version, entries.len());
-        self.version = listing.version;
+        let version = listing.version;
+        let summary = format!("list {version}: {} entries, {kind:?}", entries.len());
+        let skipped = last_error.map(|last| {
+            let count = unreadable.len();
+            format!("list {version}: {count} entries cannot be read and are skipped, the last: {last}")
+        });
+        self.version = version;
         let mut workers = Vec::new();
         let mut listed_names = BTreeSet::new();
         if kind != ListKind::Changes {
@@ -73,7 +88,7 @@
                 self.composer.operator_placed().map(|(name, _)| name.to_string()).collect();
             workers.extend(placed_names.iter().filter_map(|name| self.recompose(name, names)));
         }
-        Event::List { kind, version: listing.version, workers }
+        AppliedList { event: Event::List { kind, version, workers }, summary, skipped }
     }
 
     /// Applies the operator's intent. Returns the event for the planner if entries changed.
--- a/crates/manager/tests/overload.rs
+++ b/crates/manager/tests/overload.rs
@@ -142,7 +142,7 @@
     assert!(probe_duration < limit, "{probe_duration:?}, {line_duration:?} for one line alone");
 }
 
-/// Guards against a log that grows with every list in which an entry cannot be read. In KNOWN-RED.txt.
+/// Guards against a log that grows with every list in which an entry cannot be read.
 #[test]
 fn a_burst_of_lists_with_unreadable_entries_does_not_flood_the_log() {
     const LISTS: usize = 2_000;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,7 +5,6 @@
 //! has lost its source sends nothing rather than an old list: it ends its watches and refuses new ones.
 
 mod head_limit;
-mod log_limit;
 mod options;
 mod requests;
 mod server;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use juniperrail_limits::{HoldLimits, LongMessageLimiter};
+use juniperrail_limits::{HoldLimits, LogLimit, LongMessageLimiter};
 use rustix::process::{getrlimit, Resource};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -18,7 +18,6 @@
 use tokio::time::sleep;
 
 use crate::head_limit::{Head, HeadLimitedSocket};
-use crate::log_limit::LogLimit;
 use crate::options::Options;
 use crate::requests::respond;
 use crate::shared::Shared;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use juniperrail_distribution::WorkerList;
+use juniperrail_limits::LogLimit;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::log_limit::LogLimit;
 use crate::options::Options;
 
 /// The state whose changes subscribers wait for.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -10,11 +10,11 @@
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use juniperrail_distribution::{Applied, ApplyError, EntryError, ListEnd, ListError, ListEvent, ListReader};
+use juniperrail_limits::LogLimit;
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use crate::log_limit::LogLimit;
 use crate::options::Timing;
 use crate::shared::Shared;
 
