Composition: an operator's ready of unknown age does not cancel a drain

Callers saw all proxies sent back to a draining worker after a planned restart, for 11 s and more.

Cause: the later of two values was the one that reached the process later. At a start the cached list is read first and the operator's file second, so that a ready in the file counted as later than every drain. Same cause, found on a related path: the rollback of a confirmed commit restored a ready as if it had been set then.

Change: an intent is applied with what it is (startup, commit, confirmed commit, rollback). A ready that is read at the start counts as earlier than any phase of discovery; one that a rollback restores has its own time.

Tests that call update_intent name the kind of change now; their assertions are as before.

--- a/crates/intent/src/admission.rs
+++ b/crates/intent/src/admission.rs
@@ -347,7 +347,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::compose::Composer;
+    use crate::compose::{Composer, IntentChange};
     use crate::intent::{DesiredState, OperationIntent, Placement, WorkerIntent};
     use juniperrail_interface::{CellId, MachineId, WorkerEntry};
 
@@ -426,7 +426,7 @@
 
         fn check(&self, intent: &Intent) -> Vec<Refusal> {
             let mut composer = self.composer.clone();
-            composer.update_intent(intent);
+            composer.update_intent(intent, IntentChange::Commit);
             let context = AdmissionContext {
                 now: NOW,
                 settings: &self.settings,
@@ -443,7 +443,7 @@
         fn commit(&mut self, intent: Intent) -> Vec<Refusal> {
             let refusals = self.check(&intent);
             if refusals.is_empty() {
-                self.composer.update_intent(&intent);
+                self.composer.update_intent(&intent, IntentChange::Commit);
                 self.running = intent;
             }
             refusals
--- a/crates/intent/src/compose.rs
+++ b/crates/intent/src/compose.rs
@@ -7,6 +7,11 @@
 //! - A source that gives no value for a field does not erase the value of another source.
 //! - A worker that discovery reports gone stays gone until discovery lists it again.
 //!
+//! Which of two values is later is decided by the order in which they reach this manager. Nothing that outlives a
+//! restart tells whether the operator's file or a drain in the list came first. A `ready` in the file therefore counts as
+//! earlier than every phase that discovery reports: it cancels no drain. A `ready` that the rollback of a confirmed commit
+//! restores is as old as it was before that commit.
+//!
 //! One exception to the precedence of the later value: a departure set by the operator (draining, out, weight 0) is not
 //! undone by a later update from discovery. Discovery's `ready` means that the process runs; discovery doesn't know why
 //! the operator took the worker out, and the running configuration still does.
@@ -15,13 +20,29 @@
 //! zone's workers, or drains them if it leaves them none. It never brings back a departed worker and doesn't apply to
 //! workers that the operator wants ready. When the plan ends, the values of the other sources are in effect unchanged.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use juniperrail_interface::{Phase, WorkerEntry, WorkerId, ZoneId};
 
 use crate::intent::{DesiredState, Intent, Placement, WorkerIntent};
 
+/// How an intent comes into force. It decides whether its values count as later than those of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntentChange {
+    /// The operator's file is read at the start.
+    Startup,
+    /// An operator commits the intent, or confirms the one that is in force.
+    Commit,
+    /// An operator commits the intent on condition that it is confirmed in time.
+    ConfirmedCommit,
+    /// The intent before a confirmed commit is restored, because the commit was not confirmed or was cancelled.
+    Rollback,
+}
+
+/// Counts as earlier than every update.
+const EARLIEST_SEQUENCE: u64 = 0;
+
 /// The source that a value comes from (the origin of NMDA, RFC 8342).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -81,6 +102,8 @@
 pub struct Composer {
     discovery: BTreeMap<String, DiscoveryEntry>,
     operator: BTreeMap<String, OperatorEntry>,
+    /// The operator's entries before the confirmed commit that awaits its confirmation.
+    unconfirmed_base: Option<BTreeMap<String, OperatorEntry>>,
     /// The ratio of their weight that the workers of a zone keep under the failover plan. Workers of other zones keep
     /// their full weight.
     weight_ratios: BTreeMap<ZoneId, f64>,
@@ -154,36 +177,49 @@
 
     /// Replaces the operator's intent for all workers. A field whose value is repeated keeps its sequence number.
     /// Returns the names of the workers whose intent changed.
-    pub fn update_intent(&mut self, intent: &Intent) -> Vec<String> {
+    pub fn update_intent(&mut self, intent: &Intent, change: IntentChange) -> Vec<String> {
         self.last_sequence += 1;
-        let mut changed = Vec::new();
-        let earlier_entries = std::mem::take(&mut self.operator);
+        let replaced = std::mem::take(&mut self.operator);
+        let base = self.unconfirmed_base.take();
+        // The entries whose values keep their sequence numbers.
+        let earlier_entries = match (change, &base) {
+            (IntentChange::Rollback, Some(base)) => base,
+            _ => &replaced,
+        };
+        // A restored value that has no earlier entry is not taken for a later one.
+        let desired_state_sequence = match change {
+            IntentChange::Startup | IntentChange::Rollback => EARLIEST_SEQUENCE,
+            IntentChange::Commit | IntentChange::ConfirmedCommit => self.last_sequence,
+        };
         for (name, worker_intent) in &intent.workers {
             let earlier = earlier_entries.get(name);
-            let sequence_for =
-                |unchanged: bool, sequence: u64| if unchanged { sequence } else { self.last_sequence };
+            let same_state =
+                earlier.filter(|earlier| earlier.intent.desired_state == worker_intent.desired_state);
+            let same_weight = earlier.filter(|earlier| earlier.intent.weight == worker_intent.weight);
             let entry = OperatorEntry {
-                desired_state_sequence: earlier.map_or(self.last_sequence, |earlier| {
-                    sequence_for(
-                        earlier.intent.desired_state == worker_intent.desired_state,
-                        earlier.desired_state_sequence,
-                    )
-                }),
-                weight_sequence: earlier.map_or(self.last_sequence, |earlier| {
-                    sequence_for(earlier.intent.weight == worker_intent.weight, earlier.weight_sequence)
-                }),
+                intent: worker_intent.clone(),
+                desired_state_sequence: same_state
+                    .map_or(desired_state_sequence, |earlier| earlier.desired_state_sequence),
+                weight_sequence: same_weight.map_or(self.last_sequence, |earlier| earlier.weight_sequence),
                 reported_gone: match self.discovery.get(name) {
                     Some(discovery) => discovery.entry.phase == Phase::Gone,
-                    None => earlier.is_some_and(|earlier| earlier.reported_gone),
+                    None => replaced.get(name).is_some_and(|replaced| replaced.reported_gone),
                 },
-                intent: worker_intent.clone(),
             };
-            if earlier.map(|earlier| &earlier.intent) != Some(worker_intent) {
-                changed.push(name.clone());
-            }
             self.operator.insert(name.clone(), entry);
         }
-        changed.extend(earlier_entries.into_keys().filter(|name| !intent.workers.contains_key(name)));
+        let is_changed = |name: &&String| {
+            let intent_in = |entries: &BTreeMap<String, OperatorEntry>| {
+                entries.get(*name).map(|entry| entry.intent.clone())
+            };
+            intent_in(&replaced) != intent_in(&self.operator)
+        };
+        let names: BTreeSet<&String> = replaced.keys().chain(self.operator.keys()).collect();
+        let changed = names.into_iter().filter(is_changed).cloned().collect();
+        self.unconfirmed_base = match change {
+            IntentChange::ConfirmedCommit => base.or(Some(replaced)),
+            IntentChange::Startup | IntentChange::Commit | IntentChange::Rollback => None,
+        };
         changed
     }
 
@@ -352,33 +388,33 @@
     fn the_later_phase_takes_precedence_and_a_departure_overrides_earlier_values() {
         let mut worker = OneWorker(Composer::default());
         worker.discover(Draining, 1.0);
-        worker.0.update_intent(&desired(DesiredState::Ready, None));
+        worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit);
         assert_eq!(worker.phase(), (Ready, Operator));
         worker.discover(Draining, 1.0);
         assert_eq!(worker.phase(), (Ready, Operator), "a repeated phase does not count as a later update");
         worker.discover(Ready, 1.0);
         worker.discover(Draining, 1.0);
         assert_eq!(worker.phase(), (Draining, Discovery), "a later departure overrides the operator's ready");
-        assert!(worker.0.update_intent(&desired(DesiredState::Ready, None)).is_empty());
+        assert!(worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit).is_empty());
         assert_eq!(
             worker.phase(),
             (Draining, Discovery),
             "a repeated intent does not count as a later update"
         );
-        worker.0.update_intent(&desired(DesiredState::Follow, None));
-        worker.0.update_intent(&desired(DesiredState::Ready, None));
+        worker.0.update_intent(&desired(DesiredState::Follow, None), IntentChange::Commit);
+        worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit);
         assert_eq!(worker.phase(), (Ready, Operator));
     }
 
     #[test]
     fn a_worker_that_discovery_reports_gone_stays_gone_until_listed_again() {
         let mut worker = OneWorker(Composer::default());
-        worker.0.update_intent(&desired(DesiredState::Ready, None));
+        worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit);
         worker.discover(Ready, 1.0);
         worker.discover(Gone, 1.0);
         assert_eq!(worker.phase(), (Gone, Discovery));
-        worker.0.update_intent(&desired(DesiredState::Follow, None));
-        worker.0.update_intent(&desired(DesiredState::Ready, None));
+        worker.0.update_intent(&desired(DesiredState::Follow, None), IntentChange::Commit);
+        worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit);
         assert_eq!(worker.phase(), (Gone, Discovery), "a later intent does not bring the worker back");
         worker.discover(Draining, 1.0);
         assert_eq!(
@@ -404,15 +440,15 @@
         worker.discover(Gone, 2.0);
         assert_eq!(worker.phase(), (Gone, Discovery), "a plan does not bring a worker back");
         worker.discover(Ready, 2.0);
-        worker.0.update_intent(&desired(DesiredState::Out, None));
+        worker.0.update_intent(&desired(DesiredState::Out, None), IntentChange::Commit);
         assert_eq!(worker.phase(), (Gone, Operator));
-        worker.0.update_intent(&desired(DesiredState::Ready, None));
+        worker.0.update_intent(&desired(DesiredState::Ready, None), IntentChange::Commit);
         assert_eq!(
             worker.phase(),
             (Ready, Discovery),
             "the plan does not apply to a worker that the operator wants ready"
         );
-        worker.0.update_intent(&Intent::default());
+        worker.0.update_intent(&Intent::default(), IntentChange::Commit);
         worker.discover(Ready, 0.0);
         worker.0.update_plan(plan(0.25));
         assert_eq!(
@@ -429,7 +465,7 @@
         let mut worker = OneWorker(Composer::default());
         worker.discover(Ready, 1.0);
         for intent in [desired(DesiredState::Draining, None), desired(DesiredState::Follow, Some(0.0))] {
-            assert_eq!(worker.0.update_intent(&intent), ["s-1"]);
+            assert_eq!(worker.0.update_intent(&intent, IntentChange::Commit), ["s-1"]);
             assert_eq!(worker.phase(), (Draining, Operator));
             worker.discover(Draining, 1.0);
             worker.discover(Ready, 1.0);
@@ -440,11 +476,11 @@
                 "not even a restart undoes the operator's draining"
             );
         }
-        worker.0.update_intent(&desired(DesiredState::Out, None));
+        worker.0.update_intent(&desired(DesiredState::Out, None), IntentChange::Commit);
         assert_eq!(worker.phase(), (Gone, Operator));
         worker.discover(Draining, 1.0);
         assert_eq!(worker.phase(), (Gone, Operator));
-        assert_eq!(worker.0.update_intent(&Intent::default()), ["s-1"]);
+        assert_eq!(worker.0.update_intent(&Intent::default(), IntentChange::Commit), ["s-1"]);
         assert_eq!(worker.phase(), (Draining, Discovery), "without an intent, discovery's phase holds");
     }
 
@@ -452,7 +488,7 @@
     fn the_later_weight_takes_precedence_and_a_missing_weight_erases_none() {
         let mut worker = OneWorker(Composer::default());
         worker.discover(Ready, 2.0);
-        worker.0.update_intent(&desired(DesiredState::Follow, Some(0.5)));
+        worker.0.update_intent(&desired(DesiredState::Follow, Some(0.5)), IntentChange::Commit);
         assert_eq!(worker.weight(), (0.5, Some(Operator)));
         worker.discover(Draining, 2.0);
         assert_eq!(
@@ -462,14 +498,14 @@
         );
         worker.discover(Ready, 3.0);
         assert_eq!(worker.weight(), (3.0, Some(Discovery)));
-        worker.0.update_intent(&desired(DesiredState::Follow, Some(0.25)));
+        worker.0.update_intent(&desired(DesiredState::Follow, Some(0.25)), IntentChange::Commit);
         worker.discover(Ready, 0.0);
         assert_eq!(
             worker.weight(),
             (0.25, Some(Operator)),
             "discovery gives no weight, so the operator's holds"
         );
-        worker.0.update_intent(&desired(DesiredState::Draining, None));
+        worker.0.update_intent(&desired(DesiredState::Draining, None), IntentChange::Commit);
         assert_eq!(worker.weight(), (0.0, None));
     }
 
@@ -479,18 +515,18 @@
         let placed = intent(WorkerIntent { placement: Some(placement), ..WorkerIntent::default() });
         let mut worker = OneWorker(Composer::default());
         assert!(worker.0.compose("s-1", |_| None).is_none());
-        worker.0.update_intent(&placed);
+        worker.0.update_intent(&placed, IntentChange::Commit);
         assert_eq!((worker.phase(), worker.0.worker_names().count()), ((Ready, Operator), 1));
         worker.discover(Draining, 1.0);
         assert_eq!((worker.phase(), worker.0.worker_names().count()), ((Draining, Discovery), 1));
         worker.discover(Gone, 1.0);
         worker.0.forget("s-1");
         assert_eq!(worker.phase(), (Gone, Discovery), "the earlier placement does not bring the worker back");
-        worker.0.update_intent(&placed);
+        worker.0.update_intent(&placed, IntentChange::Commit);
         assert_eq!(worker.phase(), (Gone, Discovery));
         worker.discover(Ready, 1.0);
         assert_eq!(worker.phase(), (Ready, Discovery));
-        worker.0.update_intent(&Intent::default());
+        worker.0.update_intent(&Intent::default(), IntentChange::Commit);
         assert!(worker.0.forget("s-1"), "discovery still lists it");
         worker.discover(Gone, 1.0);
         assert!(!worker.0.forget("s-1"));
--- a/crates/intent/src/datastores.rs
+++ b/crates/intent/src/datastores.rs
@@ -14,6 +14,7 @@
 
 use crate::access::AccessControl;
 use crate::admission::Refusal;
+use crate::compose::IntentChange;
 use crate::edit::{edit_config, DefaultOperation, ErrorOption};
 use crate::intent::Intent;
 
@@ -195,6 +196,17 @@
     versions: VecDeque<Version>,
 }
 
+impl Proposal {
+    /// How the proposed configuration comes into force.
+    pub fn change(&self) -> IntentChange {
+        match &self.kind {
+            ProposalKind::Commit(Commit { confirmed: true, .. }) => IntentChange::ConfirmedCommit,
+            ProposalKind::Commit(_) => IntentChange::Commit,
+            ProposalKind::Rollback => IntentChange::Rollback,
+        }
+    }
+}
+
 impl Datastores {
     /// Creates the datastores with startup as the running configuration. Fails if startup is invalid.
     pub fn new(schema: Arc<Schema>, now: Ms, startup: Data) -> Result<Datastores, DatastoreError> {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use access::{AccessControl, AccessOperation, CertToName, Role};
 pub use admission::{check_against_settings, check_change, AdmissionContext, Refusal};
-pub use compose::{ComposedWorker, Composer, Origin};
+pub use compose::{ComposedWorker, Composer, IntentChange, Origin};
 pub use datastores::{
     Commit, CommitOutcome, Datastore, DatastoreError, Datastores, Proposal, Session, Version,
 };
--- a/crates/intent/tests/properties.rs
+++ b/crates/intent/tests/properties.rs
@@ -438,7 +438,7 @@
                     worker_intent =
                         WorkerIntent { desired_state, weight: weight.map(f64::from), placement: None };
                     let workers = BTreeMap::from([("w".to_string(), worker_intent.clone())]);
-                    composer.update_intent(&Intent { workers, ..Intent::default() });
+                    composer.update_intent(&Intent { workers, ..Intent::default() }, IntentChange::Commit);
                 }
                 Update::Forgotten if discovered == Some(Phase::Gone) => {
                     composer.forget("w");
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -13,7 +13,7 @@
 
 use juniperrail::Planner;
 use juniperrail_fleet::{FleetHandle, ZoneWeightRatios};
-use juniperrail_intent::{ChangeTracker, Intent};
+use juniperrail_intent::{ChangeTracker, Intent, IntentChange};
 use juniperrail_interface::{Event, ListKind, Ms, Phase, Settings, WorkerId};
 use juniperrail_northbound::{Notice, PlannerRequest};
 use juniperrail_start::Names;
@@ -150,10 +150,11 @@
         let intent = launch.operator_config.map(|config| config.intent).unwrap_or_default();
         // The cached list may be stale, so refusals are only logged; the planner handles a missing worker like any
         // other loss of a worker.
-        for refusal in decider.check_intent(&intent) {
+        for refusal in decider.check_intent(&intent, IntentChange::Startup) {
             tracing::warn!("the operator's file: {refusal}");
         }
-        decider.apply_intent(intent);
+        decider.apply_intent(intent, IntentChange::Startup);
+        decider.warn_of_kept_drains();
         decider.run_turn();
         decider
     }
@@ -203,8 +204,8 @@
             }
             self.events.extend(expired.into_iter().map(|(_, handle)| Event::TimerFired { handle }));
             last_turn = Instant::now();
-            request.into_iter().for_each(|request| self.answer_request(request));
             plan.into_iter().for_each(|ratios| self.apply_plan(&ratios));
+            request.into_iter().for_each(|request| self.answer_request(request));
             self.report_evidence(now);
             if !self.events.is_empty() && now >= self.retry_at {
                 self.run_turn();
--- a/crates/manager/src/decider/state.rs
+++ b/crates/manager/src/decider/state.rs
@@ -68,7 +68,7 @@
         OperationalState {
             manager: self.name.clone(),
             list_version: self.registry.version,
-            workers: self.registry.composed(None, &self.names).into_iter().map(worker_state).collect(),
+            workers: self.registry.composed(&self.names).into_iter().map(worker_state).collect(),
             tables: self.order_writer.table_states(&self.names),
             proxies: self.order_writer.proxy_states(&self.names, &self.connections, now),
             pending_lines: self.planner.unacknowledged_lines(),
--- a/crates/manager/src/decider/tests.rs
+++ b/crates/manager/src/decider/tests.rs
@@ -318,7 +318,8 @@
         let workers = desired_states.iter().map(worker_intent).collect();
         let intent = Box::new(Intent { workers, drain_grace: Some(2500.0), ..Intent::default() });
         let (reply, mut verdict) = oneshot::channel();
-        self.decider.answer_request(PlannerRequest::Apply { number, author: "ann".into(), intent, reply });
+        let (author, change) = ("ann".into(), IntentChange::Commit);
+        self.decider.answer_request(PlannerRequest::Apply { number, author, intent, change, reply });
         verdict.try_recv().expect("the request is answered within the call")
     }
 
--- a/crates/manager/src/worker_registry.rs
+++ b/crates/manager/src/worker_registry.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use juniperrail_intent::{ComposedWorker, Composer, Intent, WorkerIntent};
+use juniperrail_intent::{ComposedWorker, Composer, Intent, IntentChange, WorkerIntent};
 use juniperrail_interface::*;
 use juniperrail_start::Names;
 
@@ -92,8 +92,13 @@
     }
 
     /// Applies the operator's intent. Returns the event for the planner if entries changed.
-    pub fn apply_intent(&mut self, intent: &Intent, names: &mut Names) -> Option<Event> {
-        let changed_names = self.composer.update_intent(intent);
+    pub fn apply_intent(
+        &mut self,
+        intent: &Intent,
+        change: IntentChange,
+        names: &mut Names,
+    ) -> Option<Event> {
+        let changed_names = self.composer.update_intent(intent, change);
         self.assign_ids(names);
         let mut workers = Vec::new();
         for name in changed_names {
@@ -140,8 +145,7 @@
     ) -> BTreeMap<String, ComposedWorker> {
         let mut composer = self.composer.clone();
         composer.update_plan(ratios.clone());
-        let compose_named = |name: &str| Some((name.to_string(), compose(&composer, name, names)?));
-        composer.worker_names().filter_map(compose_named).collect()
+        compose_all(&composer, names)
     }
 
     /// A worker's entry as last reported to the planner.
@@ -176,20 +180,21 @@
         Some(entry)
     }
 
-    /// All workers as they are, or as they would be with another intent if one is given.
-    pub fn composed(&self, intent: Option<&Intent>, names: &Names) -> BTreeMap<String, ComposedWorker> {
-        let compose_all = |composer: &Composer| {
-            let compose_named = |name: &str| Some((name.to_string(), compose(composer, name, names)?));
-            composer.worker_names().filter_map(compose_named).collect()
-        };
-        match intent {
-            None => compose_all(&self.composer),
-            Some(intent) => {
-                let mut composer = self.composer.clone();
-                composer.update_intent(intent);
-                compose_all(&composer)
-            }
-        }
+    /// All workers as they are.
+    pub fn composed(&self, names: &Names) -> BTreeMap<String, ComposedWorker> {
+        compose_all(&self.composer, names)
+    }
+
+    /// All workers as they would be with another intent.
+    pub fn composed_with_intent(
+        &self,
+        intent: &Intent,
+        change: IntentChange,
+        names: &Names,
+    ) -> BTreeMap<String, ComposedWorker> {
+        let mut composer = self.composer.clone();
+        composer.update_intent(intent, change);
+        compose_all(&composer, names)
     }
 
     /// The current entries as a list, for a restarted planner.
@@ -223,6 +228,11 @@
     }
 }
 
+fn compose_all(composer: &Composer, names: &Names) -> BTreeMap<String, ComposedWorker> {
+    let compose_named = |name: &str| Some((name.to_string(), compose(composer, name, names)?));
+    composer.worker_names().filter_map(compose_named).collect()
+}
+
 fn compose(composer: &Composer, name: &str, names: &Names) -> Option<ComposedWorker> {
     // A change that is only checked may place workers that have no id yet. They get the highest id here; no table has
     // a line of such a worker.
--- a/crates/manager/tests/common/netconf_manager.rs
+++ b/crates/manager/tests/common/netconf_manager.rs
@@ -4,6 +4,9 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::time::Instant;
+
+use super::WAIT_TIMEOUT;
 
 use juniperrail_client::Endpoint;
 use juniperrail_standins::{instance_json, list_json, CertificateAuthority, Discovery, SshKeyPair, SETTINGS};
@@ -24,7 +27,7 @@
 /// removes the files.
 pub struct TestManager {
     pub directory: PathBuf,
-    _discovery: Discovery,
+    pub discovery: Discovery,
     pub child: Child,
     /// The address on which the manager serves proxies.
     pub address: std::net::SocketAddr,
@@ -102,7 +105,7 @@
         let tls_address = tls_address.unwrap();
         TestManager {
             directory,
-            _discovery: discovery,
+            discovery,
             child: manager,
             address,
             ssh_address,
@@ -160,6 +163,15 @@
         }
     }
 
+    /// Waits until a version of the configuration with this number is running.
+    pub fn wait_for_version(&self, number: &str) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        let newest = format!("\"number\": \"{number}\"");
+        while !self.run(&["state", "/state/versions", "--json"]).1.contains(&newest) {
+            assert!(Instant::now() < deadline, "there is no version {number}");
+        }
+    }
+
     /// Writes an operator file whose element `workers` contains `body`, and returns the file's path.
     pub fn write_change_file(&self, body: &str) -> String {
         let path = self.directory.join("change.xml");
--- a/crates/northbound/src/datastore_manager.rs
+++ b/crates/northbound/src/datastore_manager.rs
@@ -246,8 +246,8 @@
         let (reply, verdict) = oneshot::channel();
         let number = proposal.number;
         let author = proposal.author.clone();
-        let intent = Box::new(proposal.intent.clone());
-        let request = PlannerRequest::Apply { number, author: author.clone(), intent, reply };
+        let (intent, change) = (Box::new(proposal.intent.clone()), proposal.change());
+        let request = PlannerRequest::Apply { number, author: author.clone(), intent, change, reply };
         self.request_verdict(request, verdict).await?;
         let before = inner.datastores.get(Datastore::Running).clone();
         let outcome = inner.datastores.apply(self.now(), proposal);
--- a/crates/northbound/src/planner_request.rs
+++ b/crates/northbound/src/planner_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use juniperrail_intent::{Intent, Refusal};
+use juniperrail_intent::{Intent, IntentChange, Refusal};
 use juniperrail_interface::Ms;
 use tokio::sync::oneshot;
 
@@ -21,7 +21,13 @@
 pub enum PlannerRequest {
     /// Checks an intent against the current state of the manager and applies it at once if it is accepted. `number` is
     /// the version of running that it becomes.
-    Apply { number: u64, author: String, intent: Box<Intent>, reply: oneshot::Sender<Verdict> },
+    Apply {
+        number: u64,
+        author: String,
+        intent: Box<Intent>,
+        change: IntentChange,
+        reply: oneshot::Sender<Verdict>,
+    },
     /// Checks an intent without applying it.
     Validate { intent: Box<Intent>, reply: oneshot::Sender<Verdict> },
     /// Requests the operational state.
