Decider: a list received after an operator's request counts as the later one

A request was taken, the wait for the next turn followed, and what arrived in that wait was applied before the request. An operator's ready that was received before a drain then counted as later, and the draining worker stayed in use.

Change: what has been received when a request is taken is applied first, then the request is answered, then the wait begins.

Measured: a_drain_that_arrives_after_an_operators_ready_is_the_later_one forces the order in the decider's own loop; it failed with the old order (the worker was ready) and passes.

--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -190,11 +190,14 @@
                 ratios = next_plan(&mut self.fleet) => plan = Some(ratios),
                 () = sleep_until(self.clock.instant(wake_at)) => {}
             }
+            // A drain that is received after an operator's request is later than the request.
+            if let Some(request) = request {
+                self.receive_queued(&mut inbound);
+                self.answer_request(request);
+            }
             sleep_until(last_turn + self.tick).await;
             first_message.into_iter().for_each(|message| self.receive(message));
-            while let Ok(message) = inbound.try_recv() {
-                self.receive(message);
-            }
+            self.receive_queued(&mut inbound);
             let now = self.clock.now();
             self.handle_timeouts(now);
             let expired: Vec<(Ms, String)> =
@@ -205,7 +208,6 @@
             self.events.extend(expired.into_iter().map(|(_, handle)| Event::TimerFired { handle }));
             last_turn = Instant::now();
             plan.into_iter().for_each(|ratios| self.apply_plan(&ratios));
-            request.into_iter().for_each(|request| self.answer_request(request));
             self.report_evidence(now);
             if !self.events.is_empty() && now >= self.retry_at {
                 self.run_turn();
@@ -214,6 +216,13 @@
         }
     }
 
+    /// Handles all messages that have been received.
+    fn receive_queued(&mut self, inbound: &mut mpsc::Receiver<Inbound>) {
+        while let Ok(message) = inbound.try_recv() {
+            self.receive(message);
+        }
+    }
+
     /// Handles a received message; its events wait for the next turn.
     fn receive(&mut self, inbound: Inbound) {
         match inbound {
--- a/crates/manager/src/decider/tests.rs
+++ b/crates/manager/src/decider/tests.rs
@@ -1,3 +1,5 @@
+mod crossing;
+
 use super::*;
 use crate::inbound::{Hello, Outbox, StreamId};
 use crate::protocol::Report;
