Composition: a worker that discovery does not list is kept from every order

Callers saw an accepted change after which every proxy reset every stream, and no proxy was told of a drain.

Cause: a worker that only the operator places was composed as ready, given an id and named in every order, and full lists named it as gone. PROTOCOL lets a proxy reset a stream that names a worker which discovery has never listed.

Change: such a worker is composed as gone, has no id, and is shown as kept-back in the state until discovery lists it. A commit that adds it is refused whole (unlisted-worker); the operator's file at a start and a rollback are not, they keep it back. OperatorEntry::reported_gone is not needed any more.

--- a/crates/intent/src/admission.rs
+++ b/crates/intent/src/admission.rs
@@ -67,6 +67,10 @@
         worker: String,
         zone: String,
     },
+    /// The change places a worker that discovery does not list: a proxy resets a stream that names it.
+    UnlistedWorker {
+        worker: String,
+    },
     UnknownOperation {
         operation: String,
     },
@@ -90,6 +94,7 @@
             Refusal::LooserThanSettings { figure, .. } => format!("/jrm:figures/{figure}"),
             Refusal::GraceTooShort { .. } => "/jrm:figures/drain-grace".into(),
             Refusal::UnknownZone { worker: name, .. } => format!("{}/place/zone", worker(name)),
+            Refusal::UnlistedWorker { worker: name } => format!("{}/place", worker(name)),
             Refusal::UnknownOperation { operation } => format!("/jrm:figures/operation[name='{operation}']"),
             Refusal::BadWeight { worker: name, .. } => format!("{}/weight", worker(name)),
         }
@@ -104,6 +109,7 @@
             Refusal::TooManyLines { .. } => "too-many-lines",
             Refusal::NoSecondMessage { .. } => "no-second-message",
             Refusal::UnknownZone { .. } => "unknown-zone",
+            Refusal::UnlistedWorker { .. } => "unlisted-worker",
             Refusal::UnknownOperation { .. } => "unknown-operation",
             Refusal::TooManyWorkers { .. } => "too-many-workers",
             Refusal::BadWeight { .. } => "bad-weight",
@@ -136,6 +142,11 @@
             Refusal::UnknownZone { worker, zone } => {
                 write!(f, "{worker} cannot be placed in zone {zone}, which the settings don't name")
             }
+            Refusal::UnlistedWorker { worker } => write!(
+                f,
+                "{worker} cannot be placed, as discovery does not list it and a proxy would reset each stream that names it; \
+                 register it with discovery first"
+            ),
             Refusal::UnknownOperation { operation } => {
                 write!(f, "there is no operation {operation} in the settings")
             }
@@ -171,6 +182,17 @@
     refusals
 }
 
+/// Refuses to place workers that discovery does not list. Those that are placed already, as by the operator's file, are
+/// kept back and do not prevent other changes.
+pub fn check_placements(
+    before: &BTreeMap<String, ComposedWorker>,
+    after: &BTreeMap<String, ComposedWorker>,
+) -> Vec<Refusal> {
+    let is_placed_before = |name: &String| before.get(name).is_some_and(ComposedWorker::is_unlisted);
+    let unlisted = after.iter().filter(|(name, worker)| worker.is_unlisted() && !is_placed_before(name));
+    unlisted.map(|(worker, _)| Refusal::UnlistedWorker { worker: worker.clone() }).collect()
+}
+
 /// Performs the checks that depend only on the intent and the settings, not on the state of the workers.
 pub fn check_against_settings(context: &AdmissionContext<'_>, intent: &Intent) -> Vec<Refusal> {
     let mut refusals = check_values(context, intent);
--- a/crates/intent/src/admission/tests.rs
+++ b/crates/intent/src/admission/tests.rs
@@ -138,16 +138,49 @@
             "other workers are ready for the operation lookup"
         );
     }
-    let manager = TestManager::new();
+    let mut manager = TestManager::new();
+    manager.discover(5, Phase::Draining, None);
     let mut both = manager.with_worker("s-1", desired(DesiredState::Out));
     both.workers.insert("s-3".into(), desired(DesiredState::Draining));
     let refusals = manager.check(&both);
     assert!(refusals[0].to_string().contains("without s-1 and s-3"), "{}", refusals[0]);
-    both.workers
+    let mut with_placed = both.clone();
+    with_placed
+        .workers
         .insert("s-9".into(), WorkerIntent { placement: Some(placement("b")), ..WorkerIntent::default() });
+    assert_eq!(
+        tags(&manager.check(&with_placed)),
+        ["no-ready-worker"],
+        "a worker that discovery does not list is no replacement"
+    );
+    both.workers.insert("s-5".into(), desired(DesiredState::Ready));
     assert!(manager.check(&both).is_empty(), "the same change adds a replacement");
 }
 
+#[test]
+fn placing_a_worker_that_discovery_does_not_list_is_refused_and_prevents_no_other_change() {
+    let mut manager = TestManager::new();
+    let placed = WorkerIntent { placement: Some(placement("b")), ..WorkerIntent::default() };
+    let compose_with = |manager: &TestManager, intent: &Intent, change: IntentChange| {
+        let mut composer = manager.composer.clone();
+        composer.update_intent(intent, change);
+        manager.compose_all(&composer)
+    };
+    let with_unlisted = manager.with_worker("s-9", placed.clone());
+    let before = manager.compose_all(&manager.composer);
+    let refusals = check_placements(&before, &compose_with(&manager, &with_unlisted, IntentChange::Commit));
+    assert_eq!(tags(&refusals), ["unlisted-worker"]);
+    assert_eq!(refusals[0].path(), "/jrm:workers/worker[name='s-9']/place");
+    let with_listed = manager.with_worker("s-1", placed);
+    assert!(check_placements(&before, &compose_with(&manager, &with_listed, IntentChange::Commit)).is_empty());
+    // The operator's file may have placed it before.
+    manager.composer.update_intent(&with_unlisted, IntentChange::Startup);
+    let before = manager.compose_all(&manager.composer);
+    let mut with_other = with_unlisted;
+    with_other.workers.insert("s-0".into(), desired(DesiredState::Draining));
+    assert!(check_placements(&before, &compose_with(&manager, &with_other, IntentChange::Commit)).is_empty());
+}
+
 fn placement(zone: &str) -> Placement {
     Placement { zone: zone.into(), machine: String::new(), cell: None, address: None }
 }
--- a/crates/intent/src/compose.rs
+++ b/crates/intent/src/compose.rs
@@ -6,6 +6,8 @@
 //! - A departure (draining or gone) overrides every earlier value.
 //! - A source that gives no value for a field does not erase the value of another source.
 //! - A worker that discovery reports gone stays gone until discovery lists it again.
+//! - A worker that discovery does not list, and only the operator places, is kept back as gone: a proxy resets a stream
+//!   that names a worker which discovery has never listed.
 //!
 //! Which of two values is later is decided by the order in which they reach this manager. Nothing that outlives a
 //! restart tells whether the operator's file or a drain in the list came first. A `ready` in the file therefore counts as
@@ -77,6 +79,13 @@
     pub discovery_phase: Option<Phase>,
 }
 
+impl ComposedWorker {
+    /// Whether only the operator places the worker, so that it is kept back until discovery lists it.
+    pub fn is_unlisted(&self) -> bool {
+        self.discovery_phase.is_none()
+    }
+}
+
 /// What discovery last reported of a worker, with the sequence number of the update that set each field.
 #[derive(Clone, Debug)]
 struct DiscoveryEntry {
@@ -92,8 +101,6 @@
     intent: WorkerIntent,
     desired_state_sequence: u64,
     weight_sequence: u64,
-    /// Whether discovery last reported the worker gone. Outlasts the removal of discovery's entry.
-    reported_gone: bool,
 }
 
 /// The values of all sources for all workers, by worker name. Its size is bounded by discovery's list and the running
@@ -126,9 +133,6 @@
                 weight_sequence = earlier.weight_sequence;
             }
         }
-        if let Some(operator) = self.operator.get_mut(name) {
-            operator.reported_gone = entry.phase == Phase::Gone;
-        }
         self.discovery
             .insert(name.to_string(), DiscoveryEntry { entry, address, phase_sequence, weight_sequence });
     }
@@ -157,16 +161,12 @@
     }
 
     /// Forgets a worker that the planner removed. If discovery still lists the worker, it was only taken out by the
-    /// operator: its entry is kept and true is returned. Otherwise the entry is removed and, if the operator configures
-    /// the worker, only the fact that discovery reported it gone is kept.
+    /// operator: its entry is kept and true is returned. Otherwise the entry is removed.
     pub fn forget(&mut self, name: &str) -> bool {
         if self.discovery.get(name).is_some_and(|discovery| discovery.entry.phase != Phase::Gone) {
             return true;
         }
-        let was_reported_gone = self.discovery.remove(name).is_some();
-        if let Some(operator) = self.operator.get_mut(name) {
-            operator.reported_gone |= was_reported_gone;
-        }
+        self.discovery.remove(name);
         false
     }
 
@@ -201,10 +201,6 @@
                 desired_state_sequence: same_state
                     .map_or(desired_state_sequence, |earlier| earlier.desired_state_sequence),
                 weight_sequence: same_weight.map_or(self.last_sequence, |earlier| earlier.weight_sequence),
-                reported_gone: match self.discovery.get(name) {
-                    Some(discovery) => discovery.entry.phase == Phase::Gone,
-                    None => replaced.get(name).is_some_and(|replaced| replaced.reported_gone),
-                },
             };
             self.operator.insert(name.clone(), entry);
         }
@@ -278,19 +274,14 @@
             let placement = operator.intent.placement.as_ref()?;
             let entry = placed_entry(&operator.intent)?;
             let mut composed = ComposedWorker {
-                entry: WorkerEntry { phase: Phase::Ready, ..entry },
+                entry: WorkerEntry { phase: Phase::Gone, ..entry },
                 address: placement.address,
-                phase_origin: Origin::Operator,
+                phase_origin: Origin::Discovery,
                 weight_origin: None,
                 placement_origin: Origin::Operator,
                 discovery_phase: None,
             };
-            if operator.reported_gone {
-                // A placement by the operator must not bring back a worker that discovery reported gone.
-                (composed.entry.phase, composed.phase_origin) = (Phase::Gone, Origin::Discovery);
-            }
-            operator.apply(&mut composed, 0, 0);
-            self.apply_plan(&mut composed, Some(operator.intent.desired_state));
+            operator.apply(&mut composed, EARLIEST_SEQUENCE, EARLIEST_SEQUENCE);
             return Some(composed);
         };
         let mut composed = ComposedWorker {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -12,7 +12,7 @@
 mod progress;
 
 pub use access::{AccessControl, AccessOperation, CertToName, Role};
-pub use admission::{check_against_settings, check_change, AdmissionContext, Refusal};
+pub use admission::{check_against_settings, check_change, check_placements, AdmissionContext, Refusal};
 pub use compose::{ComposedWorker, Composer, IntentChange, Origin};
 pub use datastores::{
     Commit, CommitOutcome, Datastore, DatastoreError, Datastores, Proposal, Session, Version,
--- a/crates/manager/src/decider/intents.rs
+++ b/crates/manager/src/decider/intents.rs
@@ -5,7 +5,8 @@
 
 use juniperrail_fleet::ZoneWeightRatios;
 use juniperrail_intent::{
-    check_change, AdmissionContext, ComposedWorker, DesiredState, Intent, IntentChange, Refusal,
+    check_change, check_placements, AdmissionContext, ComposedWorker, DesiredState, Intent, IntentChange,
+    Refusal,
 };
 use juniperrail_interface::{Event, Phase, ZoneId};
 use juniperrail_northbound::{PlannerRequest, Verdict};
@@ -54,7 +55,13 @@
 
     /// The reasons to refuse an intent.
     pub(super) fn check_intent(&self, intent: &Intent, change: IntentChange) -> Vec<Refusal> {
-        self.check_composed(&self.registry.composed_with_intent(intent, change, &self.names), intent)
+        let new_workers = self.registry.composed_with_intent(intent, change, &self.names);
+        let mut refusals = self.check_composed(&new_workers, intent);
+        // A rollback restores what ran before: it must not fail because discovery lists a worker no longer.
+        if change != IntentChange::Rollback {
+            refusals.extend(check_placements(&self.registry.composed(&self.names), &new_workers));
+        }
+        refusals
     }
 
     /// The reasons to refuse a change after which the workers would be composed as in `new_workers`.
--- a/crates/manager/src/worker_registry.rs
+++ b/crates/manager/src/worker_registry.rs
@@ -82,11 +82,6 @@
                 listed_names.insert(name);
             }
             self.composer.mark_unlisted_gone(&|name| listed_names.contains(name));
-            // Workers that only the operator places are in no list, and do not count as gone because of that.
-            self.assign_ids(names);
-            let placed_names: Vec<String> =
-                self.composer.operator_placed().map(|(name, _)| name.to_string()).collect();
-            workers.extend(placed_names.iter().filter_map(|name| self.recompose(name, names)));
         }
         AppliedList { event: Event::List { kind, version, workers }, summary, skipped }
     }
@@ -99,7 +94,7 @@
         names: &mut Names,
     ) -> Option<Event> {
         let changed_names = self.composer.update_intent(intent, change);
-        self.assign_ids(names);
+        self.assign_placement_ids(names);
         let mut workers = Vec::new();
         for name in changed_names {
             let Some(id) = names.workers.find_id(&name).map(WorkerId) else { continue };
@@ -158,10 +153,10 @@
         self.entries.values()
     }
 
-    /// Assigns ids to workers that only the operator places, and to their zones and machines.
-    fn assign_ids(&self, names: &mut Names) {
-        for (name, placement) in self.composer.operator_placed() {
-            names.worker(name);
+    /// Assigns ids to the zones and machines of workers that only the operator places. The workers themselves get none
+    /// before discovery lists them, so that no order names them.
+    fn assign_placement_ids(&self, names: &mut Names) {
+        for (_, placement) in self.composer.operator_placed() {
             names.zone(&placement.zone);
             names.machine(&placement.machine);
         }
@@ -234,8 +229,7 @@
 }
 
 fn compose(composer: &Composer, name: &str, names: &Names) -> Option<ComposedWorker> {
-    // A change that is only checked may place workers that have no id yet. They get the highest id here; no table has
-    // a line of such a worker.
+    // A worker that only the operator places has no id. It gets the highest one here; no table has a line of it.
     let entry_from_intent = |intent: &WorkerIntent| {
         let placement = intent.placement.as_ref()?;
         let id_or_max = |id: Option<u32>| id.map_or(u16::MAX, |id| id as u16);
--- a/crates/northbound/src/state.rs
+++ b/crates/northbound/src/state.rs
@@ -284,6 +284,9 @@
             if let Some(reported) = discovery_phase {
                 worker.text("discovery-phase", phase_name(*reported));
             }
+            if self.composed.is_unlisted() {
+                worker.text("kept-back", "unlisted");
+            }
         });
     }
 }
