Streams: a proxy that refuses every order is sent orders ever more rarely

A proxy that resets every stream was bound anew at once and without end. Each bind counts in its message limit, and an exclusion goes to all proxies concerned or to none: with one proxy at its limit, the drains of all others waited past their grace. The log counted joins and leaves and named no cause.

Change: the planner counts a proxy's last streams that ended soon with a message unacknowledged (Planner::rejoin_delay). One log line in a report period says which proxy, what it was sent last and how its stream ended. A proxy that acknowledges is never delayed.

--- a/crates/manager/src/connection_tracker.rs
+++ b/crates/manager/src/connection_tracker.rs
@@ -9,6 +9,9 @@
 /// Limit on the send times that are kept for one proxy. Usual limits on messages per window are far below it.
 const MAX_RECENT_MESSAGES: usize = 1024;
 
+/// Limit on what is logged of a message.
+const MAX_EXCERPT_BYTES: usize = 512;
+
 /// A mark that was sent and not acknowledged yet.
 pub struct PendingMark {
     pub mark: MarkId,
@@ -17,6 +20,17 @@
     turn: u64,
 }
 
+/// What the planner is told of a proxy whose connection is open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Presence {
+    /// It is reported as joined.
+    Joined,
+    /// It is reported as left since this time, because it sends nothing.
+    Silent { since: Ms },
+    /// It is not reported as joined before this time. `fresh`: it has just started and has no tables.
+    Held { until: Ms, fresh: bool },
+}
+
 /// The stream of a proxy.
 pub struct Stream {
     pub id: StreamId,
@@ -30,12 +44,13 @@
     pub last_received_at: Ms,
     /// Since when the oldest pending mark is known to have left the channel.
     delivered_since: Option<Ms>,
-    /// Since when the proxy is reported to the planner as left although its connection is open.
-    pub silent_since: Option<Ms>,
+    pub presence: Presence,
     pub last_mark_sent: Option<MarkId>,
     pub last_mark_acknowledged: Option<MarkId>,
     /// When each message within the message window was sent, oldest first.
     pub recent_messages: VecDeque<Ms>,
+    /// The last message, as long as a mark awaits acknowledgement.
+    unacknowledged_message: Option<Bytes>,
 }
 
 impl Stream {
@@ -48,17 +63,33 @@
             pending_marks: VecDeque::new(),
             last_received_at: now,
             delivered_since: None,
-            silent_since: None,
+            presence: Presence::Joined,
             last_mark_sent: None,
             last_mark_acknowledged: None,
             recent_messages: VecDeque::new(),
+            unacknowledged_message: None,
         }
     }
 
+    /// Whether the proxy is reported to the planner as joined.
+    pub fn is_joined(&self) -> bool {
+        self.presence == Presence::Joined
+    }
+
+    /// The start of the last message, on one line; `None` if the proxy has acknowledged all that it was sent.
+    pub fn unacknowledged_excerpt(&self) -> Option<String> {
+        let message = self.unacknowledged_message.as_ref().filter(|_| !self.pending_marks.is_empty())?;
+        let start = &message[..message.len().min(MAX_EXCERPT_BYTES)];
+        let text = String::from_utf8_lossy(start).trim_end().replace("\r\n", " / ");
+        let rest = if start.len() < message.len() { "..." } else { "" };
+        Some(format!("{text}{rest} ({} bytes)", message.len()))
+    }
+
     /// Forgets the pending marks, so that their acknowledgement is no longer awaited.
     pub fn clear_pending_marks(&mut self) {
         self.pending_marks.clear();
         self.delivered_since = None;
+        self.unacknowledged_message = None;
     }
 
     /// Queues a message. Returns false if the proxy reads too slowly, so that its connection has to be closed.
@@ -70,6 +101,7 @@
             self.recent_messages.pop_front();
         }
         self.recent_messages.push_back(now);
+        self.unacknowledged_message = Some(bytes.clone());
         self.outbox.try_send(bytes)
     }
 }
@@ -80,6 +112,8 @@
     Silent { proxy: ProxyId, idle_for: Ms, pending_count: usize },
     /// The proxy stayed silent; its connection is closed.
     Closed(ProxyId),
+    /// The proxy's introduction was held back and counts from now on.
+    HoldEnded { proxy: ProxyId, fresh: bool },
 }
 
 /// The state of a stream just before a message was received over it.
@@ -126,10 +160,7 @@
 
     /// The proxies that are reported to the planner as joined.
     pub fn joined(&self) -> impl Iterator<Item = (ProxyId, &Stream)> {
-        self.streams
-            .iter()
-            .filter(|(_, stream)| stream.silent_since.is_none())
-            .map(|(id, stream)| (*id, stream))
+        self.streams.iter().filter(|(_, stream)| stream.is_joined()).map(|(id, stream)| (*id, stream))
     }
 
     /// The proxy of a stream, unless another stream has replaced it.
@@ -139,7 +170,7 @@
 
     /// Removes a proxy's stream. Returns whether the proxy was reported as joined until now.
     pub fn remove(&mut self, proxy: ProxyId) -> bool {
-        self.streams.remove(&proxy).is_some_and(|stream| stream.silent_since.is_none())
+        self.streams.remove(&proxy).is_some_and(|stream| stream.is_joined())
     }
 
     /// Starts the next turn: marks sent from now on belong to it.
@@ -170,14 +201,16 @@
     /// of a later turn. If no proxy acknowledges anything, the timeout starts once a full channel would have emptied.
     fn times_out_at(&self, stream: &Stream) -> Option<Ms> {
         let SilenceTimeouts { ack_timeout, queue_drain_time } = self.silence_timeouts;
-        let silent_since = stream.silent_since.or_else(|| {
-            let delivered_since = stream.delivered_since.or_else(|| {
-                let oldest = stream.pending_marks.front()?;
-                Some(oldest.sent_at.max(self.last_acknowledged_at) + queue_drain_time)
-            })?;
-            Some(delivered_since.max(stream.last_received_at))
+        match stream.presence {
+            Presence::Held { until, .. } => return Some(until),
+            Presence::Silent { since } => return Some(since + ack_timeout),
+            Presence::Joined => {}
+        }
+        let delivered_since = stream.delivered_since.or_else(|| {
+            let oldest = stream.pending_marks.front()?;
+            Some(oldest.sent_at.max(self.last_acknowledged_at) + queue_drain_time)
         })?;
-        Some(silent_since + ack_timeout)
+        Some(delivered_since.max(stream.last_received_at) + ack_timeout)
     }
 
     /// When the next stream times out.
@@ -196,15 +229,23 @@
             self.streams.iter().filter(|(_, stream)| is_due(stream)).map(|(id, _)| *id).collect();
         let time_out = |proxy| {
             let stream = self.streams.get_mut(&proxy).expect("the proxy has a stream");
-            if stream.silent_since.is_some() {
-                self.streams.remove(&proxy);
-                return StreamTimeout::Closed(proxy);
+            match stream.presence {
+                Presence::Joined => {
+                    let idle_for = now - stream.last_received_at;
+                    let pending_count = stream.pending_marks.len();
+                    stream.presence = Presence::Silent { since: now };
+                    stream.clear_pending_marks();
+                    StreamTimeout::Silent { proxy, idle_for, pending_count }
+                }
+                Presence::Silent { .. } => {
+                    self.streams.remove(&proxy);
+                    StreamTimeout::Closed(proxy)
+                }
+                Presence::Held { fresh, .. } => {
+                    stream.presence = Presence::Joined;
+                    StreamTimeout::HoldEnded { proxy, fresh }
+                }
             }
-            let idle_for = now - stream.last_received_at;
-            let pending_count = stream.pending_marks.len();
-            stream.silent_since = Some(now);
-            stream.clear_pending_marks();
-            StreamTimeout::Silent { proxy, idle_for, pending_count }
         };
         due_proxies.into_iter().map(time_out).collect()
     }
@@ -215,7 +256,11 @@
         let pending_for = stream.pending_marks.front().map_or(0.0, |oldest| now - oldest.sent_at);
         let idle_for = now - stream.last_received_at;
         stream.last_received_at = now;
-        Some(Activity { resumed: stream.silent_since.take().is_some(), idle_for, pending_for })
+        let resumed = matches!(stream.presence, Presence::Silent { .. });
+        if resumed {
+            stream.presence = Presence::Joined;
+        }
+        Some(Activity { resumed, idle_for, pending_for })
     }
 
     /// Records that a proxy acknowledged a mark and all before it. A mark that is not pending on this stream is an
@@ -226,6 +271,9 @@
         let index = index.ok_or_else(|| format!("proxy {} has no pending mark {}", proxy.0, mark.0))?;
         let turn = stream.pending_marks.drain(..=index).next_back().map_or(0, |pending| pending.turn);
         stream.last_mark_acknowledged = Some(mark);
+        if stream.pending_marks.is_empty() {
+            stream.unacknowledged_message = None;
+        }
         stream.delivered_since = stream
             .pending_marks
             .front()
--- a/crates/manager/src/connection_tracker/tests.rs
+++ b/crates/manager/src/connection_tracker/tests.rs
@@ -23,7 +23,9 @@
     let timeouts = connections.handle_timeouts(now).into_iter();
     timeouts
         .map(|timeout| match timeout {
-            StreamTimeout::Silent { proxy, .. } | StreamTimeout::Closed(proxy) => proxy.0,
+            StreamTimeout::Silent { proxy, .. }
+            | StreamTimeout::Closed(proxy)
+            | StreamTimeout::HoldEnded { proxy, .. } => proxy.0,
         })
         .collect()
 }
--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -231,11 +231,7 @@
                 self.receive_list(&listing, kind);
             }
             Inbound::Joined { stream, hello, outbox } => self.handle_join(stream, hello, outbox),
-            Inbound::Ended(stream, error) => {
-                error.into_iter().for_each(|error| self.log_summary.broken_connections.record(error));
-                let proxy = self.connections.proxy_of(stream);
-                proxy.into_iter().for_each(|proxy| self.remove_proxy(proxy));
-            }
+            Inbound::Ended(stream, error) => self.handle_end(stream, error),
             Inbound::Reported(sender, report) => match self.translate_report(sender, report) {
                 Ok(event) => self.events.push(event),
                 Err(reason) => {
--- a/crates/manager/src/decider/proxies.rs
+++ b/crates/manager/src/decider/proxies.rs
@@ -3,7 +3,7 @@
 use juniperrail_interface::{Event, MarkId, Ms, ProxyId, WorkerId, ZoneId};
 
 use super::Decider;
-use crate::connection_tracker::{Stream, StreamTimeout};
+use crate::connection_tracker::{Presence, Stream, StreamTimeout};
 use crate::inbound::{Hello, Outbox, StreamId};
 use crate::protocol::Report;
 
@@ -19,9 +19,33 @@
         }
         // A new stream may come before the end of the old one is noticed; messages over the old one are ignored.
         self.remove_proxy(proxy);
-        let stream = Stream::new(id, outbox, zone, inv_per_second, self.clock.now());
+        let now = self.clock.now();
+        let mut stream = Stream::new(id, outbox, zone, inv_per_second, now);
+        let delay = self.planner.rejoin_delay(now, proxy);
+        if delay > 0.0 {
+            stream.presence = Presence::Held { until: now + delay, fresh };
+        }
+        let is_joined = stream.is_joined();
         self.connections.streams.insert(proxy, stream);
-        self.report_joined(proxy, fresh);
+        if is_joined {
+            self.report_joined(proxy, fresh);
+        } else {
+            self.log_summary.held_proxies.record(format!("proxy {} for {delay:.0} ms", proxy.0));
+        }
+    }
+
+    /// Handles the end of a connection, with the error if it did not end normally.
+    pub(super) fn handle_end(&mut self, stream: StreamId, error: Option<String>) {
+        let proxy = self.connections.proxy_of(stream);
+        if let (Some(proxy), Some(error)) = (proxy, &error) {
+            let excerpt = self.connections.streams[&proxy].unacknowledged_excerpt();
+            excerpt.into_iter().for_each(|sent| {
+                let details = format!("proxy {}, sent last: {sent}; {error}", proxy.0);
+                self.log_summary.refused_orders.record(details);
+            });
+        }
+        error.into_iter().for_each(|error| self.log_summary.broken_connections.record(error));
+        proxy.into_iter().for_each(|proxy| self.remove_proxy(proxy));
     }
 
     /// Reports to the planner that a proxy joined, over a new stream or one that was silent.
@@ -46,7 +70,7 @@
         self.events.push(Event::Left { proxy });
     }
 
-    /// Handles proxies that send nothing while acknowledgements are pending.
+    /// Handles proxies that send nothing while acknowledgements are pending, and the ends of delays.
     pub(super) fn handle_timeouts(&mut self, now: Ms) {
         for timeout in self.connections.handle_timeouts(now) {
             match timeout {
@@ -61,6 +85,7 @@
                 StreamTimeout::Closed(proxy) => {
                     tracing::debug!("proxy {} is still silent: its connection is closed", proxy.0);
                 }
+                StreamTimeout::HoldEnded { proxy, fresh } => self.report_joined(proxy, fresh),
             }
         }
     }
--- a/crates/manager/src/decider/state.rs
+++ b/crates/manager/src/decider/state.rs
@@ -7,6 +7,7 @@
 use juniperrail_northbound::{ChangeState, Notice, OperationalState, WorkerState};
 
 use super::{Decider, PROGRESS_CHECK_PERIOD_MS};
+use crate::connection_tracker::Presence;
 use crate::fleet;
 
 impl Decider {
@@ -91,8 +92,9 @@
         let entries =
             entries.map(|entry| (entry, names.zones.name(entry.zone.0.into()), warm_ratio(entry.started_at)));
         let streams = self.connections.streams.values();
-        let proxies =
-            streams.map(|stream| (names.zones.name(stream.zone.0.into()), stream.silent_since.is_some()));
+        let proxies = streams.map(|stream| {
+            (names.zones.name(stream.zone.0.into()), matches!(stream.presence, Presence::Silent { .. }))
+        });
         let report = evidence.report(now, self.settings.report_period, entries, proxies);
         report.into_iter().for_each(|report| handle.report_evidence(report));
     }
--- a/crates/manager/src/decider/turns.rs
+++ b/crates/manager/src/decider/turns.rs
@@ -104,8 +104,7 @@
         if runtime != Intent::default().runtime_settings(&self.settings, &self.operation_names) {
             self.events.push(Event::SettingsChanged(runtime));
         }
-        let joined_streams =
-            self.connections.streams.iter_mut().filter(|(_, stream)| stream.silent_since.is_none());
+        let joined_streams = self.connections.streams.iter_mut().filter(|(_, stream)| stream.is_joined());
         for (proxy, stream) in joined_streams {
             let Stream { zone, inv_per_second, .. } = *stream;
             stream.clear_pending_marks();
--- a/crates/manager/src/log_summary.rs
+++ b/crates/manager/src/log_summary.rs
@@ -57,6 +57,11 @@
     /// Proxies reported to the planner as left.
     pub left_proxies: usize,
     pub broken_connections: EventCount,
+    /// Streams that broke before the proxy had acknowledged what it was sent: it refused the orders, or the network
+    /// failed.
+    pub refused_orders: EventCount,
+    /// Proxies that connected again and are not sent orders before a delay has passed.
+    pub held_proxies: EventCount,
     pub silent_proxies: EventCount,
     /// Proxies that had been silent and sent a message again.
     pub resumed_proxies: usize,
@@ -88,6 +93,18 @@
         if broken > 0 {
             tracing::info!("{broken} connections broke, the last: {last}");
         }
+        let EventCount { count: refused, last } = summary.refused_orders;
+        if refused > 0 {
+            tracing::warn!(
+                "{refused} streams broke with unacknowledged orders (refused by the proxy, or lost), the last: {last}"
+            );
+        }
+        let EventCount { count: held, last } = summary.held_proxies;
+        if held > 0 {
+            tracing::warn!(
+                "{held} joins delayed after streams that broke one after the other, the last: {last}"
+            );
+        }
         let EventCount { count: silent, last } = summary.silent_proxies;
         if silent + summary.resumed_proxies > 0 {
             tracing::warn!(
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -65,6 +65,12 @@
         self.0.get_ref().shutdown(Shutdown::Write).expect("the socket is open");
     }
 
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(self.0.get_ref());
+        socket.set_linger(Some(Duration::ZERO)).expect("the socket is open");
+    }
+
     /// Reads until the connection ends, which may be in the middle of a line.
     pub fn read_to_end(&mut self) -> String {
         let mut rest = Vec::new();
--- a/src/events.rs
+++ b/src/events.rs
@@ -7,6 +7,16 @@
 
 /// Number of reports kept for each worker.
 const MAX_WORKER_SAMPLES: usize = 12;
+/// Number of streams that ended unanswered, one after the other, from which on a proxy may be delayed.
+const MIN_UNANSWERED_STREAMS: i32 = 2;
+/// Messages that the message limit must have room for when a delayed proxy joins.
+const REJOIN_MESSAGES: usize = 2;
+/// Number of streams that may end unanswered, one after the other, before the next one is delayed. Networks break a few.
+const MAX_PROMPT_REJOINS: i32 = 3;
+/// The first delay of a proxy that connects again, as a fraction of the report period; each further one is twice as long.
+const MIN_REJOIN_DELAY_RATIO: f64 = 1.0 / 16.0;
+/// The longest such delay, in report periods.
+const MAX_REJOIN_DELAY_RATIO: f64 = 8.0;
 /// Number of demand reports kept for each proxy and operation.
 const MAX_DEMAND_SAMPLES: usize = 3;
 
@@ -50,7 +60,7 @@
                     partitions.into_iter().for_each(|partition| self.build_tables(partition, Some(zone)));
                 }
                 // The end of an earlier stream may not have been reported.
-                self.end_bindings(*proxy);
+                self.end_stream(*proxy);
                 let unbound_ops = self.all_operations();
                 let joined = Proxy {
                     zone,
@@ -58,6 +68,7 @@
                     unbound_since: self.now,
                     unbound_ops,
                     acknowledged_mark,
+                    joined_at: self.now,
                     ..Proxy::default()
                 };
                 self.proxies.insert(*proxy, joined);
@@ -65,8 +76,7 @@
             Event::Left { proxy } => {
                 // The proxy's bindings end, and its acknowledgements are no longer awaited. An update that no proxy is
                 // left to acknowledge becomes idle and is sent again. The proxy's next bind carries all values.
-                self.proxies.remove(proxy);
-                self.end_bindings(*proxy);
+                self.end_stream(*proxy);
             }
             Event::MarkAcknowledged { mark, proxy, .. } => {
                 // The newest mark sent with these low 16 bits: the numbers of marks on the channel wrap around.
@@ -102,11 +112,38 @@
         }
     }
 
-    /// Ends the bindings of a proxy to all tables.
-    fn end_bindings(&mut self, proxy: ProxyId) {
+    /// Ends the stream of a proxy and its bindings to all tables.
+    fn end_stream(&mut self, id: ProxyId) {
         for table in &mut self.tables {
-            table.bound_proxies.remove(&proxy);
+            table.bound_proxies.remove(&id);
         }
+        let Some(proxy) = self.proxies.remove(&id) else { return };
+        let is_short = self.now - proxy.joined_at < self.settings.message_window;
+        let is_unanswered = proxy.sent_mark > proxy.acknowledged_mark;
+        let count = self.unanswered_streams.entry(id).or_default();
+        if !is_short {
+            *count = 0;
+        }
+        if is_unanswered {
+            *count += 1;
+        }
+    }
+
+    /// How long the host has to wait before it reports a proxy as joined that connects now.
+    ///
+    /// A proxy resets a stream that brings what it cannot use, and then connects again. If each message is refused in
+    /// this way, the binds would use up the messages allowed to it, and updates that all proxies are sent would wait for
+    /// it. The delay grows with the number of streams that ended so, and lasts until the message limit has room for a
+    /// bind and an exclusion. A bind carries all that was sent meanwhile.
+    pub fn rejoin_delay(&self, now: Ms, id: ProxyId) -> Ms {
+        let count = self.unanswered_streams.get(&id).copied().unwrap_or(0);
+        if count < MIN_UNANSWERED_STREAMS {
+            return 0.0;
+        }
+        let doublings = count - MAX_PROMPT_REJOINS - 1;
+        let backoff = if doublings < 0 { 0.0 } else { MIN_REJOIN_DELAY_RATIO * 2f64.powi(doublings) };
+        let backoff = self.settings.report_period * backoff.min(MAX_REJOIN_DELAY_RATIO);
+        backoff.max(self.message_room_at(id, REJOIN_MESSAGES) - now)
     }
 
     /// Applies one entry of the worker list. `is_change`: the entry is from a change of the list, not from a full list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,6 +95,9 @@
     /// another manager's table, with any worker.
     unbound_ops: BTreeSet<usize>,
     acknowledged_mark: u64,
+    joined_at: Ms,
+    /// The mark of the last message to it; 0 before the first.
+    sent_mark: u64,
     /// By operation: the last reported rates in invocations a second, the newest first.
     demand: BTreeMap<OpId, VecDeque<f64>>,
 }
@@ -153,6 +156,9 @@
     /// Whether any worker was ever listed. Those that are gone are forgotten after some time.
     has_listed_workers: bool,
     proxies: BTreeMap<ProxyId, Proxy>,
+    /// By proxy: the number of its last streams, one after the other, that ended soon and with a message that was not
+    /// acknowledged.
+    unanswered_streams: BTreeMap<ProxyId, i32>,
     /// When messages were sent to each proxy, as far as they may still count within `Settings::message_window`.
     message_times: BTreeMap<ProxyId, VecDeque<Ms>>,
     /// Indexed by table id.
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -120,6 +120,9 @@
         }
         for (id, lines) in std::mem::take(&mut self.message_lines) {
             self.message_times.entry(id).or_default().push_back(now);
+            if let Some(proxy) = self.proxies.get_mut(&id) {
+                proxy.sent_mark = self.last_mark;
+            }
             self.unacknowledged.insert((self.last_mark, id), lines);
         }
     }
@@ -157,6 +160,18 @@
         fits
     }
 
+    /// When the message limit has room for `messages` more to a proxy; a time in the past if it has room now.
+    pub(crate) fn message_room_at(&self, id: ProxyId, messages: usize) -> Ms {
+        let Some(times) = self.message_times.get(&id) else { return f64::NEG_INFINITY };
+        let max_messages = self.settings.max_messages_per_window as usize;
+        // The number of messages that must have left the window by then.
+        let excess = (times.len() + messages).saturating_sub(max_messages).min(times.len());
+        let last_excess = excess.checked_sub(1).and_then(|index| times.get(index));
+        last_excess.map_or(f64::NEG_INFINITY, |sent_at| {
+            sent_at + self.settings.message_window * MESSAGE_RETENTION_RATIO
+        })
+    }
+
     /// Sends an update if it fits within `line_limit` and `message_ratio` (see [`Planner::reserve_lines`]). Returns
     /// whether it was added to a message; an update without receivers counts as sent, but is in no message.
     fn send_update(&mut self, key: UpdateKey, line_limit: f64, message_ratio: f64) -> bool {
