--- a/crates/manager/tests/netconf_overload.rs
+++ b/crates/manager/tests/netconf_overload.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use common::netconf_manager::TestManager;
-use common::resident_anonymous_bytes;
+use common::{entry, resident_anonymous_bytes};
 use juniperrail_client::{Client, Datastore, Endpoint};
+use juniperrail_standins::list_json;
 use tokio::time::{sleep, timeout};
 
 /// The memory limit of a manager in `examples/config.json`. NETCONF is not served where a manager has less.
@@ -130,3 +131,33 @@
         }
     });
 }
+
+/// Guards against a process that is killed for its memory because no client reads its replies, which hold the state of a large fleet.
+#[test]
+fn replies_that_no_client_reads_take_bounded_memory() {
+    const WORKERS: usize = 2_000;
+    const REQUESTS: usize = 4;
+    let manager = TestManager::new("unread-replies");
+    let entries: Vec<String> = (0..WORKERS).map(|worker| entry(&format!("s-{worker}"), "ready")).collect();
+    manager.discovery.publish(&list_json(2, true, &entries));
+    let rpc = "<rpc xmlns=\"urn:ietf:params:xml:ns:netconf:base:1.0\" message-id=\"1\"><get/></rpc>";
+    let requests = format!("\n#{}\n{rpc}\n##\n", rpc.len()).repeat(REQUESTS);
+    run_async(async {
+        for endpoint in endpoints(&manager) {
+            let mut reader = Client::connect(&endpoint).await.unwrap();
+            let state_bytes = loop {
+                reader.send_raw(requests.as_bytes()).await.unwrap();
+                let reply = timeout(REPLY_TIMEOUT, reader.read_reply()).await;
+                let reply = reply.expect("the manager replies in time").unwrap();
+                let length = format!("{reply:?}").len();
+                if length > WORKERS * 100 {
+                    break length;
+                }
+            };
+            drop(reader);
+            let (peak, duration) = send_in_all_sessions(&manager, &endpoint, &requests).await;
+            println!("{peak} bytes with replies of some {state_bytes}; another client's {duration:?}");
+            assert!(peak < MEMORY_LIMIT_BYTES, "{peak} bytes with {SESSIONS} sessions at {endpoint:?}");
+        }
+    });
+}
