Decider: faults of the operator's file at the start write at most 17 log lines

A file may place up to 4,096 workers, and since the last changes each one that discovery does not list is a fault that the start warns of. At most 16 are logged, then their number.

--- a/crates/manager/src/decider.rs
+++ b/crates/manager/src/decider.rs
@@ -39,6 +39,9 @@
 /// expiry of the earliest timer to the turn.
 pub const TURN_TARGET: &str = "juniperrail::turns";
 
+/// Limit on the log lines about faults of the operator's file at the start.
+const MAX_LOGGED_REFUSALS: usize = 16;
+
 /// A warning is logged once this share of the limit on unacknowledged lines is reached.
 const CHANNEL_WARNING_RATIO: f64 = 0.8;
 
@@ -150,9 +153,13 @@
         let intent = launch.operator_config.map(|config| config.intent).unwrap_or_default();
         // The cached list may be stale, so refusals are only logged; the planner handles a missing worker like any
         // other loss of a worker.
-        for refusal in decider.check_intent(&intent, IntentChange::Startup) {
+        let refusals = decider.check_intent(&intent, IntentChange::Startup);
+        for refusal in refusals.iter().take(MAX_LOGGED_REFUSALS) {
             tracing::warn!("the operator's file: {refusal}");
         }
+        if let Some(others) = refusals.len().checked_sub(MAX_LOGGED_REFUSALS).filter(|others| *others > 0) {
+            tracing::warn!("the operator's file: {others} more faults of this kind");
+        }
         decider.apply_intent(intent, IntentChange::Startup);
         decider.warn_of_kept_drains();
         decider.run_turn();
