--- a/crates/manager/tests/common/mod.rs
+++ b/crates/manager/tests/common/mod.rs
@@ -91,6 +91,37 @@
     Discovery::accept_watch(discovery, status)
 }
 
+/// An operator's file whose element `workers` has this content. Dropping it removes the file.
+pub struct OperatorFile(PathBuf);
+
+impl OperatorFile {
+    /// Writes the file. `name` must differ from those of other tests.
+    pub fn new(name: &str, workers: &str) -> OperatorFile {
+        let path = std::env::temp_dir().join(format!("juniperrail-{name}-{}.xml", std::process::id()));
+        std::fs::write(&path, operator_config(workers)).unwrap();
+        OperatorFile(path)
+    }
+
+    /// The environment variable that names the file.
+    pub fn variable(&self) -> (&str, &str) {
+        ("JUNIPERRAIL_FILE", self.0.to_str().unwrap())
+    }
+}
+
+impl Drop for OperatorFile {
+    fn drop(&mut self) {
+        _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// An operator's configuration whose element `workers` has this content.
+pub fn operator_config(workers: &str) -> String {
+    format!(
+        "<config xmlns=\"urn:ietf:params:xml:ns:netconf:base:1.0\">\
+         <workers xmlns=\"tag:juniperrail.example,2026:yang:manager\">{workers}</workers></config>"
+    )
+}
+
 /// The memory of a process that no file backs.
 pub fn resident_anonymous_bytes(process: &Child) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
